--- /dev/null
+++ b/sprucespool/interface.py
@@ -0,0 +1,303 @@
+"""What the decision module is told and what it answers. Plain data: nothing here decides.
+
+Times are float milliseconds. Objects point to each other; `name` is for the door and for logs only.
+`belief` on a fact belongs to the controller that was handed the fact; whoever hands it over leaves it alone.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+
+
+class Effect(Enum):
+    RETRIABLE = "retriable"
+    DEDUPED = "deduped"
+    NON_RETRIABLE = "non-retriable"
+
+
+class Scope(Enum):
+    """Which invokers drop the repeats of a deduped inference together."""
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Status(Enum):
+    IN_SERVICE = "in service"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Outcome(Enum):
+    RETURNED = "returned"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    UNCONNECTED = "unconnected"
+    RESET = "reset"
+    CALLED_OFF = "called off"
+    NOT_SENT = "not sent"
+    MISS = "miss"
+
+
+class Found(Enum):
+    """What a returned forward found at the invoker."""
+    UNTOLD = "untold"
+    WARM = "warm"
+    BEGAN_LOAD = "began load"
+    AWAITED_LOAD = "awaited load"
+
+
+class News(Enum):
+    UPDATE = "update"
+    REPLACE = "replace"
+    RESTORED = "restored"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(slots=True, eq=False)
+class ModelGroup:
+    name: str
+    slo_time: float
+    slo_per_work: float
+    route_timeout: float
+    value: float
+    late_value: float
+    effect: Effect
+    scope: Scope
+    dedup_window: float
+    streamed: bool
+
+
+@dataclass(slots=True, eq=False)
+class Tenant:
+    name: str
+    share: float
+    quota_per_s: float
+
+
+@dataclass(slots=True, eq=False)
+class Deployment:
+    """What holds for the whole life of a controller."""
+    controllers: int
+    own_number: int
+    own_zone: str
+    groups: list[ModelGroup]
+    tenants: list[Tenant]
+    over_share_value: float
+    tick: float
+    answer_slack: float
+    drain_grace: float
+    cold_share: float
+    warm_after: float
+    fall_multiple: float
+    fall_window: float
+    roster_asked: bool
+    ask_every: float
+    may_call_off: bool
+    may_probe: bool
+    may_duplicate: bool
+    may_message: bool
+    may_order: bool
+    tells_retry_after: bool
+    longest_retry_after: float
+    most_forwards: int
+    connect_timeout: float
+    keep_alive: float
+    loads_on_miss: bool
+    order_timeout: float
+    order_floor: float
+    order_share: float
+    order_window: float
+    tells_found: bool
+    tells_same_model: bool
+    valued_by_work: bool
+    report_fields: list[str]
+    report_meanings: dict[str, str]
+    memory_mb: dict[str, float]
+    prices: dict[str, float]
+    goal: dict[str, float]
+
+
+@dataclass(slots=True, eq=False)
+class Invoker:
+    name: str
+    belief: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class Model:
+    name: str
+    belief: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class Inference:
+    name: str
+    group: ModelGroup
+    model: Model
+    tenant: Tenant | None
+    ttl: float
+    work: float | None
+    memory_mb: float | None
+    lanes: int | None
+    load_time: float | None
+    repeat: bool
+    write: bool
+    forwards: list[Forward] = field(default_factory=list)
+    belief: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class Forward:
+    """Action: send the inference to the invoker. The same object comes back in `Ended`."""
+    inference: Inference
+    invoker: Invoker
+    time_out: float
+    belief: Any = None
+
+
+@dataclass(slots=True, eq=False)
+class RosterEntry:
+    invoker: Invoker
+    zone: str
+    kind: str
+    cell: str
+    status: Status
+    size: float
+    started: float
+
+
+# Events
+
+@dataclass(slots=True, eq=False)
+class Arrived:
+    inference: Inference
+
+
+@dataclass(slots=True, eq=False)
+class Departed:
+    inference: Inference
+
+
+@dataclass(slots=True, eq=False)
+class Ended:
+    forward: Forward
+    outcome: Outcome
+    final: bool
+    elapsed: float
+    found: Found
+    load_failed: bool
+    same_model: int | None
+    report: dict[str, float]
+
+
+@dataclass(slots=True, eq=False)
+class Streaming:
+    forward: Forward
+    elapsed: float
+
+
+@dataclass(slots=True, eq=False)
+class RosterNews:
+    kind: News
+    version: int
+    entries: list[RosterEntry]
+
+
+@dataclass(slots=True, eq=False)
+class OrderSettled:
+    invoker: Invoker
+    model: Model
+    outcome: Outcome
+    standing: int
+    elapsed: float
+
+
+@dataclass(slots=True, eq=False)
+class Probed:
+    invoker: Invoker
+    outcome: Outcome
+    elapsed: float
+    report: dict[str, float]
+
+
+@dataclass(slots=True, eq=False)
+class TimerDue:
+    token: int
+
+
+@dataclass(slots=True, eq=False)
+class PeerSaid:
+    peer: int
+    payload: bytes
+
+
+# Actions (with Forward)
+
+@dataclass(slots=True, eq=False)
+class Shed:
+    inference: Inference
+    retry_after: float
+
+
+@dataclass(slots=True, eq=False)
+class Fail:
+    inference: Inference
+
+
+@dataclass(slots=True, eq=False)
+class CallOff:
+    forward: Forward
+
+
+@dataclass(slots=True, eq=False)
+class Order:
+    """Hold at least `copies` of the model at the invoker; none only asks."""
+    invoker: Invoker
+    model: Model
+    copies: int
+
+
+@dataclass(slots=True, eq=False)
+class Unload:
+    invoker: Invoker
+    model: Model
+
+
+@dataclass(slots=True, eq=False)
+class SetTimer:
+    after: float
+    token: int
+
+
+@dataclass(slots=True, eq=False)
+class Probe:
+    invoker: Invoker
+
+
+@dataclass(slots=True, eq=False)
+class CloseIdle:
+    invoker: Invoker
+
+
+@dataclass(slots=True, eq=False)
+class Message:
+    peer: int | None
+    payload: bytes
+
+
+@dataclass(slots=True, eq=False)
+class Subscribe:
+    active: bool
+
+
+@dataclass(slots=True, eq=False)
+class FetchRoster:
+    pass
+
+
+@dataclass(slots=True, eq=False)
+class Log:
+    text: str
--- /dev/null
+++ b/sprucespool/policy.py
@@ -0,0 +1,613 @@
+"""All decisions of a controller: pull-based placement (HIKU) with what keeps it standing when things fail.
+
+Call `Controller(deployment, seed)` once when the controller starts, then `handle(now, events)` for each batch
+of what happened; the answer is the list of what to do, in order. Everything handed in and out is defined in
+`sprucespool/interface.py`; each fact's `belief` slot is this module's own. Times are float milliseconds.
+"""
+from __future__ import annotations
+
+import heapq
+import zlib
+from collections import deque
+
+from sprucespool.interface import (
+    Arrived, CallOff, Departed, Deployment, Effect, Ended, Fail, Forward, Found, Inference, News, Order,
+    OrderSettled, Outcome, RosterEntry, RosterNews, Scope, SetTimer, Shed, Status, Streaming, Subscribe,
+    TimerDue,
+)
+
+PULSE, DUE = 1, 2
+PULSE_EVERY = 100.0
+NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.NOT_SENT, Outcome.MISS)
+ALIVE = (Outcome.RETURNED, Outcome.ERROR, Outcome.FULL, Outcome.MISS)
+# A colleague twice as slow is another kind of machine; beyond that it is in trouble.
+SLOW_PACE = 2.5
+# Trials of a suspect thin out, so that a long silence costs few inferences.
+FIRST_TRIAL, LAST_TRIAL = 1000.0, 8000.0
+# The cold budget is kept with this part in hand: arrivals bunch, and the clock of a start is told roughly.
+COLD_CAUTION = 0.8
+
+
+class _Usual:
+    """Mean and mean deviation of a time, as a retransmission timer keeps them."""
+    __slots__ = ("mean", "spread", "seen")
+
+    def __init__(self, guess: float):
+        self.mean, self.spread, self.seen = guess, guess / 2, 0
+
+    def add(self, figure: float):
+        self.seen += 1
+        gain = max(0.05, 1.0 / self.seen)
+        self.spread += max(0.05, min(0.5, gain)) * (abs(figure - self.mean) - self.spread)
+        self.mean += gain * (figure - self.mean)
+
+    @property
+    def patience(self) -> float:
+        return self.mean + 4 * self.spread
+
+
+class _Pod:
+    """What is believed of one invoker."""
+    __slots__ = ("invoker", "zone", "kind", "cell", "serving", "started", "out", "held", "heard", "new",
+                 "pace", "suspect", "trial_at", "trial_gap", "full_until", "spent", "carried", "rate")
+
+    def __init__(self, invoker, now: float):
+        self.invoker = invoker
+        self.spent: deque[tuple[float, float]] = deque()
+        self.out: dict[Forward, None] = {}
+        self.held = 0
+        self.zone = self.kind = self.cell = ""
+        self.serving, self.started = False, -1.0
+        self.forget(now)
+
+    def forget(self, now: float):
+        self.heard, self.new, self.pace = now, True, 1.0
+        self.suspect, self.trial_at, self.trial_gap, self.full_until = False, 0.0, FIRST_TRIAL, 0.0
+        self.carried = self.rate = 0.0
+
+    @property
+    def load(self) -> int:
+        return len(self.out) + self.held
+
+
+class _Entry:
+    __slots__ = ("until", "copies")
+
+    def __init__(self, until: float, copies: int):
+        self.until, self.copies = until, copies
+
+
+class _Load:
+    """A load this controller has set going, with the inferences that wait here until it stands."""
+    __slots__ = ("pod", "since", "waiting", "ordered")
+
+    def __init__(self, pod: _Pod, since: float, ordered: bool):
+        self.pod, self.since, self.ordered = pod, since, ordered
+        self.waiting: dict[Inference, None] = {}
+
+
+class _Mdl:
+    """What is believed of one model: its queue of warm invokers, own lanes taken, loads under way."""
+    __slots__ = ("model", "lanes", "load_time", "warm", "busy", "loads")
+
+    def __init__(self, model):
+        self.model = model
+        self.lanes, self.load_time = 1, None
+        self.warm: dict[_Pod, _Entry] = {}
+        self.busy: dict[_Pod, int] = {}
+        self.loads: dict[_Pod, _Load] = {}
+
+
+class _Inf:
+    """An inference still owed an answer."""
+    __slots__ = ("arrived", "until", "ran", "out", "tried", "load", "parked")
+
+    def __init__(self, arrived: float, until: float):
+        self.arrived, self.until = arrived, until
+        self.ran: list[tuple[_Pod, float]] = []
+        self.out: dict[Forward, None] = {}
+        self.tried: list[_Pod] = []
+        self.load: _Load | None = None
+        self.parked = False
+
+
+class _Sent:
+    __slots__ = ("pod", "at", "rescued")
+
+    def __init__(self, pod: _Pod, at: float):
+        self.pod, self.at, self.rescued = pod, at, False
+
+
+class Controller:
+    def __init__(self, deployment: Deployment, seed: int):
+        self.dep = deployment
+        self.seed, self.draws = seed, 0
+        self.now = 0.0
+        self.actions: list = []
+        self.pods: list[_Pod] = []
+        self.known: dict = {}
+        self.parked: dict[Inference, None] = {}
+        self.dues: list[tuple[float, int, object]] = []
+        self.counter = 0
+        self.armed = float("inf")
+        self.pulsing = False
+        self.orders: deque[float] = deque()
+        self.arrivals: deque[float] = deque()
+        self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
+        self.loading = _Usual(max(group.slo_time for group in deployment.groups))
+        self.handlers = {
+            Arrived: self._arrived, Departed: self._departed, Ended: self._ended, Streaming: self._streaming,
+            RosterNews: self._roster, OrderSettled: self._settled, TimerDue: self._timer,
+        }
+
+    def handle(self, now: float, events: list) -> list:
+        self.now, self.actions = now, []
+        if not self.pulsing:
+            self.pulsing = True
+            self.actions.append(SetTimer(PULSE_EVERY, PULSE))
+            if self.dep.roster_asked:
+                self.actions.append(Subscribe(True))
+        for event in events:
+            handler = self.handlers.get(type(event))
+            if handler:
+                handler(event)
+        if self.dues and self.dues[0][0] < self.armed:
+            self.armed = self.dues[0][0]
+            self.actions.append(SetTimer(max(0.0, self.armed - now), DUE))
+        return self.actions
+
+    # Roster
+
+    def _roster(self, news: RosterNews):
+        if news.kind is News.UNAVAILABLE:
+            if self.dep.roster_asked:
+                self._due(self.now + self.dep.ask_every / 4, None)
+            return
+        if news.kind is not News.UPDATE:
+            named = {entry.invoker: None for entry in news.entries}
+            for pod in list(self.pods):
+                if pod.invoker not in named:
+                    self._withdraw(pod)
+        for entry in news.entries:
+            self._enter(entry)
+
+    def _enter(self, entry: RosterEntry):
+        pod = entry.invoker.belief
+        if pod is None:
+            pod = entry.invoker.belief = _Pod(entry.invoker, self.now)
+        pod.zone, pod.kind, pod.cell = entry.zone, entry.kind, entry.cell
+        if entry.status is not Status.IN_SERVICE:
+            self._withdraw(pod)
+            return
+        if entry.started != pod.started and pod.started >= 0:
+            # A process started afresh holds nothing that the one before it held.
+            self._strike(pod)
+            pod.forget(self.now)
+        pod.started = entry.started
+        if not pod.serving:
+            pod.serving = True
+            self.pods.append(pod)
+
+    def _withdraw(self, pod: _Pod):
+        if pod.serving:
+            pod.serving = False
+            self.pods.remove(pod)
+        self._strike(pod)
+
+    def _strike(self, pod: _Pod):
+        for mdl in self._models():
+            mdl.warm.pop(pod, None)
+            if pod in mdl.loads:
+                self._abandon(mdl, mdl.loads[pod])
+
+    def _models(self) -> list[_Mdl]:
+        return list(self.known.values())
+
+    # Inferences
+
+    def _arrived(self, event: Arrived):
+        inf = event.inference
+        self.arrivals.append(self.now)
+        mdl = inf.model.belief
+        if mdl is None:
+            mdl = inf.model.belief = _Mdl(inf.model)
+            self.known[inf.model] = mdl
+        mdl.lanes = inf.lanes or mdl.lanes
+        mdl.load_time = inf.load_time or mdl.load_time
+        inf.belief = _Inf(self.now, self.now + max(0.0, inf.ttl - 2 * self.dep.tick))
+        self._due(inf.belief.until, inf)
+        self._place(inf)
+
+    def _departed(self, event: Departed):
+        self._close(event.inference)
+
+    def _streaming(self, event: Streaming):
+        self._close(event.forward.inference, keep=event.forward)
+
+    def _close(self, inf: Inference, keep: Forward | None = None):
+        """The inference is answered: whatever is still out for it is work for nobody."""
+        mind = inf.belief
+        if mind is None:
+            return
+        inf.belief = None
+        self._unhold(inf, mind)
+        self.parked.pop(inf, None)
+        if self.dep.may_call_off:
+            for forward in mind.out:
+                if forward is not keep:
+                    self.actions.append(CallOff(forward))
+
+    def _unhold(self, inf: Inference, mind: _Inf):
+        if mind.load:
+            mind.load.waiting.pop(inf, None)
+            mind.load.pod.held -= 1
+            mind.load = None
+
+    def _finish(self, inf: Inference):
+        """Given up: a shed tells the client that another try is harmless, so it goes wherever it is true."""
+        if self._may_shed(inf):
+            wait = min(self.usual[inf.group].mean, self.dep.longest_retry_after)
+            self.actions.append(Shed(inf, wait if self.dep.tells_retry_after else 0.0))
+        else:
+            self.actions.append(Fail(inf))
+        self._close(inf)
+
+    # Placement
+
+    def _place(self, inf: Inference):
+        mind, mdl = inf.belief, inf.model.belief
+        if len(inf.forwards) >= self.dep.most_forwards or self.now >= mind.until:
+            if not mind.out:
+                self._finish(inf)
+            return
+        pods = [pod for pod in self._healthy() if self._may_forward(inf, pod)]
+        untried = [pod for pod in pods if pod not in mind.tried]
+        pods = untried or pods
+        trial = next((pod for pod in self.pods if pod.suspect and self.now >= pod.trial_at
+                      and not inf.forwards and self._may_forward(inf, pod)), None)
+        if trial and inf.group.effect is not Effect.NON_RETRIABLE:
+            trial.trial_gap = min(2 * trial.trial_gap, LAST_TRIAL)
+            trial.trial_at = self.now + trial.trial_gap
+            self._forward(inf, trial)
+            return
+        warm = [pod for pod in pods if pod in mdl.warm and mdl.warm[pod].until > self.now]
+        free = [pod for pod in warm if mdl.busy.get(pod, 0) < mdl.lanes * mdl.warm[pod].copies]
+        if free:
+            self._forward(inf, self._least(free))
+        elif not pods:
+            if mind.out:
+                return
+            mind.parked = True
+            self.parked[inf] = None
+        else:
+            self._beyond(inf, mdl, pods, warm)
+
+    def _beyond(self, inf: Inference, mdl: _Mdl, pods: list[_Pod], warm: list[_Pod]):
+        """No warm lane is free. Against a burst in which each inference would start a load of its own: one
+        waits behind a warm copy, or a load already set going, while that is sooner than one of its own."""
+        usual, load = self.usual[inf.group].mean, self._load_time(mdl)
+        waits = {pod: (mdl.busy.get(pod, 0) / (mdl.lanes * mdl.warm[pod].copies)) * usual for pod in warm}
+        if warm:
+            best = min(warm, key=lambda pod: (waits[pod], pod.load, self._chance()))
+            if waits[best] < load:
+                if not mdl.loads:
+                    self._spread(mdl, pods)
+                self._forward(inf, best)
+                return
+        joinable = [other for other in mdl.loads.values() if other.pod in pods
+                    and (mdl.busy.get(other.pod, 0) + len(other.waiting)) * usual / mdl.lanes < load]
+        if joinable:
+            best = min(joinable, key=lambda load: (len(load.waiting) + mdl.busy.get(load.pod, 0),
+                                                   self._chance()))
+            if best.ordered:
+                self._hold(inf, best)
+            else:
+                self._forward(inf, best.pod)
+            return
+        pod = self._least(pods, fallback=True)
+        if self.dep.loads_on_miss:
+            mdl.loads.setdefault(pod, _Load(pod, self.now, False))
+        self._forward(inf, pod)
+
+    def _least(self, pods: list[_Pod], fallback: bool = False) -> _Pod:
+        mean = sum(pod.load for pod in self.pods) / max(1, len(self.pods))
+        return min(pods, key=lambda pod: (mean if fallback and (pod.new or self._cold(pod)) else pod.load,
+                                          self._chance()))
+
+    def _spread(self, mdl: _Mdl, pods: list[_Pod]):
+        bare = [pod for pod in pods if pod not in mdl.warm]
+        if bare:
+            self._order(mdl, self._least(bare, fallback=True))
+
+    def _order(self, mdl: _Mdl, pod: _Pod) -> _Load | None:
+        if pod in mdl.loads:
+            return mdl.loads[pod]
+        if not self._may_order(pod):
+            return None
+        self.orders.append(self.now)
+        self.actions.append(Order(pod.invoker, mdl.model, 1))
+        load = mdl.loads[pod] = _Load(pod, self.now, True)
+        self._due(self.now + self._load_patience(mdl), (mdl, load))
+        return load
+
+    def _hold(self, inf: Inference, load: _Load):
+        inf.belief.load = load
+        load.waiting[inf] = None
+        load.pod.held += 1
+
+    def _missed(self, inf: Inference, mdl: _Mdl, pod: _Pod):
+        load = self._order(mdl, pod) if self.dep.may_order else None
+        if load:
+            self._hold(inf, load)
+            return
+        warm = [other for other in self._healthy() if other in mdl.warm and self._may_forward(inf, other)]
+        if warm:
+            self._forward(inf, self._least(warm))
+        else:
+            self._finish(inf)
+
+    def _load_time(self, mdl: _Mdl) -> float:
+        return mdl.load_time if mdl.load_time and not self.loading.seen else self.loading.mean
+
+    def _load_patience(self, mdl: _Mdl) -> float:
+        return max(self.loading.patience, 2 * (mdl.load_time or 0.0))
+
+    def _abandon(self, mdl: _Mdl, load: _Load):
+        """The load came to nothing, or not in time: its inferences go on by the fallback."""
+        if mdl.loads.get(load.pod) is load:
+            del mdl.loads[load.pod]
+        for inf in list(load.waiting):
+            self._unhold(inf, inf.belief)
+            inf.belief.tried.append(load.pod)
+            self._place(inf)
+
+    def _forward(self, inf: Inference, pod: _Pod):
+        """The one gate through which every forward passes."""
+        mind, mdl = inf.belief, inf.model.belief
+        if not self._may_forward(inf, pod):
+            raise AssertionError("a forward that the rules forbid")
+        forward = Forward(inf, pod.invoker, mind.until - self.now)
+        forward.belief = _Sent(pod, self.now)
+        inf.forwards.append(forward)
+        mind.tried.append(pod)
+        mind.out[forward] = None
+        pod.out[forward] = None
+        mdl.busy[pod] = mdl.busy.get(pod, 0) + 1
+        if self._cold(pod):
+            pod.spent.append((self.now, self.usual[inf.group].mean))
+        self.actions.append(forward)
+
+    # Rules
+
+    def _may_forward(self, inf: Inference, pod: _Pod) -> bool:
+        mind, group = inf.belief, inf.group
+        if not pod.serving or pod.full_until > self.now or self.now >= mind.until:
+            return False
+        if mind.out and not self.dep.may_duplicate:
+            return False
+        if mind.out or mind.ran:
+            if group.effect is Effect.NON_RETRIABLE:
+                return False
+            if group.effect is Effect.DEDUPED:
+                ran = mind.ran + [(f.belief.pod, f.belief.at) for f in mind.out]
+                if any(self.now - at >= group.dedup_window
+                       or not self._drops_together(group.scope, pod, other) for other, at in ran):
+                    return False
+        return self._cold_room(pod, self.usual[group].mean)
+
+    def _drops_together(self, scope: Scope, a: _Pod, b: _Pod) -> bool:
+        return scope is Scope.ALL or (a.zone == b.zone if scope is Scope.ZONE else
+                                      a.zone == b.zone and a.cell == b.cell)
+
+    def _may_shed(self, inf: Inference) -> bool:
+        group, mind = inf.group, inf.belief
+        if group.effect is Effect.RETRIABLE or not (mind.out or mind.ran):
+            return True
+        return group.effect is Effect.DEDUPED and group.scope is Scope.ALL
+
+    def _may_order(self, pod: _Pod) -> bool:
+        dep = self.dep
+        if not dep.may_order or not pod.serving:
+            return False
+        if dep.order_window <= 0:
+            return True
+        while self.orders and self.orders[0] < self.now - dep.order_window:
+            self.orders.popleft()
+        while self.arrivals and self.arrivals[0] <= self.now - dep.order_window:
+            self.arrivals.popleft()
+        return len(self.orders) + 1 <= dep.order_floor + dep.order_share * len(self.arrivals)
+
+    def _cold(self, pod: _Pod) -> bool:
+        return pod.started > 0 and self.now < pod.started + self.dep.warm_after
+
+    def _cold_room(self, pod: _Pod, weight: float) -> bool:
+        """Own part of what a cold invoker may be sent: what one of its kind returns to this controller when
+        warm is this controller's part of its capacity, whatever the others do."""
+        if not self._cold(pod):
+            return True
+        dep = self.dep
+        while pod.spent and pod.spent[0][0] <= self.now - dep.fall_window:
+            pod.spent.popleft()
+        if not pod.spent:
+            return True
+        age = max(0.0, self.now - dep.fall_window - pod.started) / dep.warm_after
+        share = dep.cold_share + (1 - dep.cold_share) * age
+        rates = [other.rate for other in self.pods if not self._cold(other) and other.kind == pod.kind]
+        rates = rates or [other.rate / 2 for other in self.pods if not self._cold(other)]
+        budget = COLD_CAUTION * dep.fall_multiple * share * max(rates, default=0.0) * dep.fall_window
+        return sum(spent for _, spent in pod.spent) + weight <= budget
+
+    # Outcomes
+
+    def _ended(self, event: Ended):
+        forward, outcome = event.forward, event.outcome
+        inf, sent = forward.inference, forward.belief
+        pod, mdl = sent.pod, inf.model.belief
+        pod.out.pop(forward, None)
+        mdl.busy[pod] -= 1
+        if not mdl.busy[pod]:
+            del mdl.busy[pod]
+        load = mdl.loads.get(pod)
+        if load and not load.ordered and pod not in mdl.busy:
+            del mdl.loads[pod]
+        if outcome in ALIVE:
+            pod.heard = self.now
+        if outcome is Outcome.RETURNED:
+            self._learn(inf, mdl, pod, event)
+        elif outcome is Outcome.FULL:
+            pod.full_until = self.now + self.usual[inf.group].mean
+        elif outcome in (Outcome.UNCONNECTED, Outcome.RESET):
+            self._doubt(pod)
+            self._strike(pod)
+        elif outcome is not Outcome.CALLED_OFF:
+            mdl.warm.pop(pod, None)
+        mind = inf.belief
+        if mind is None:
+            return
+        mind.out.pop(forward, None)
+        if event.final:
+            self._close(inf)
+            return
+        if outcome not in NEVER_RAN:
+            mind.ran.append((pod, sent.at))
+        if self.now >= mind.until:
+            self._finish(inf)
+        elif outcome is Outcome.MISS and not event.load_failed and pod.serving and not mind.load:
+            self._missed(inf, mdl, pod)
+        elif not mind.load and not mind.parked:
+            self._again(inf)
+
+    def _again(self, inf: Inference):
+        """Onward where the rules let it; if they never will, the answer is given now."""
+        mind, group = inf.belief, inf.group
+        if mind.ran and not mind.out and (group.effect is Effect.NON_RETRIABLE or (
+                group.effect is Effect.DEDUPED and self.now - mind.ran[0][1] >= group.dedup_window)):
+            self._finish(inf)
+        else:
+            self._place(inf)
+
+    def _learn(self, inf: Inference, mdl: _Mdl, pod: _Pod, event: Ended):
+        pod.new = False
+        pod.carried += self.usual[inf.group].mean
+        cold = event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD)
+        if pod.serving:
+            entry = mdl.warm.get(pod)
+            copies = 1 if cold or entry is None else entry.copies
+            mdl.warm[pod] = _Entry(self.now + self.dep.keep_alive, copies)
+        if cold:
+            if event.found is Found.BEGAN_LOAD:
+                self.loading.add(event.elapsed)
+            return
+        usual = self.usual[inf.group]
+        ratio = event.elapsed / max(usual.mean, 1e-3)
+        pod.pace += 0.2 * (min(ratio, 20.0) - pod.pace)
+        usual.add(event.elapsed)
+        if pod.suspect and ratio < SLOW_PACE:
+            pod.suspect, pod.trial_gap, pod.pace = False, FIRST_TRIAL, 1.0
+
+    def _settled(self, event: OrderSettled):
+        pod, mdl = event.invoker.belief, event.model.belief
+        if event.outcome is not Outcome.TIMED_OUT and event.outcome is not Outcome.UNCONNECTED:
+            pod.heard = self.now
+        load = mdl.loads.get(pod)
+        if event.outcome is Outcome.RETURNED and pod.serving:
+            mdl.warm[pod] = _Entry(self.now + self.dep.keep_alive, max(1, event.standing))
+            self.loading.add(event.elapsed)
+        if load is None or not load.ordered:
+            return
+        if event.outcome is not Outcome.RETURNED:
+            self._abandon(mdl, load)
+            return
+        del mdl.loads[pod]
+        for inf in list(load.waiting):
+            self._unhold(inf, inf.belief)
+            if self._may_forward(inf, pod):
+                self._forward(inf, pod)
+            else:
+                self._place(inf)
+
+    # Health
+
+    def _healthy(self) -> list[_Pod]:
+        """Suspects are left out, unless so many look ill that the cause must be a shared one."""
+        well = [pod for pod in self.pods if not pod.suspect]
+        return well if 2 * len(well) > len(self.pods) else self.pods
+
+    def _doubt(self, pod: _Pod):
+        if not pod.suspect:
+            pod.suspect, pod.trial_at = True, self.now + pod.trial_gap
+
+    def _pulse(self):
+        self.actions.append(SetTimer(PULSE_EVERY, PULSE))
+        paces = sorted(pod.pace for pod in self.pods)
+        median = paces[len(paces) // 2] if paces else 1.0
+        for pod in self.pods:
+            pod.rate += PULSE_EVERY / 5000.0 * (pod.carried / PULSE_EVERY - pod.rate)
+            pod.carried = 0.0
+            if pod.pace > SLOW_PACE * median:
+                self._doubt(pod)
+            if pod.out:
+                oldest = next(iter(pod.out))
+                if self.now - max(pod.heard, oldest.belief.at) > self._patience(oldest):
+                    # Takes work and answers nothing: hung, cut off, or dead and not yet listed so.
+                    self._doubt(pod)
+        if any(pod.suspect for pod in self.pods):
+            self._rescue()
+        for inf in list(self.parked):
+            mind = inf.belief
+            del self.parked[inf]
+            mind.parked = False
+            if self.now - mind.arrived > inf.group.slo_time:
+                self._finish(inf)
+            else:
+                self._place(inf)
+
+    def _patience(self, forward: Forward) -> float:
+        inf, pod = forward.inference, forward.belief.pod
+        wait = max(self.usual[inf.group].patience, inf.group.slo_time / 2)
+        return wait + (self._load_patience(inf.model.belief) if pod in inf.model.belief.loads else 0.0)
+
+    def _rescue(self):
+        healthy = self._healthy()
+        for pod in self.pods:
+            if not pod.suspect or pod in healthy:
+                continue
+            for forward in list(pod.out):
+                inf, sent = forward.inference, forward.belief
+                if (inf.belief is None or sent.rescued or inf.group.effect is Effect.NON_RETRIABLE
+                        or self.now - max(sent.at, pod.heard) < self._patience(forward)
+                        or len(inf.forwards) >= self.dep.most_forwards):
+                    continue
+                sent.rescued = True
+                if self.dep.may_duplicate:
+                    self._place(inf)
+                elif self.dep.may_call_off:
+                    self.actions.append(CallOff(forward))
+
+    # Time and chance
+
+    def _due(self, at: float, what: object):
+        self.counter += 1
+        heapq.heappush(self.dues, (at, self.counter, what))
+
+    def _timer(self, event: TimerDue):
+        if event.token == PULSE:
+            self._pulse()
+            return
+        self.armed = float("inf")
+        while self.dues and self.dues[0][0] <= self.now:
+            _, _, what = heapq.heappop(self.dues)
+            if what is None:
+                self.actions.append(Subscribe(True))
+            elif isinstance(what, Inference):
+                if what.belief:
+                    self._finish(what)
+            else:
+                mdl, load = what
+                if mdl.loads.get(load.pod) is load:
+                    self._doubt(load.pod)
+                    self._abandon(mdl, load)
+
+    def _chance(self) -> int:
+        self.draws += 1
+        return zlib.crc32(b"%d:%d" % (self.seed, self.draws))
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,57 @@
+"""The module beside the plain rules of `world` on generated days: each act must be allowed."""
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from world import World, deployment, group
+
+from sprucespool import interface as it
+
+OUTCOMES = st.sampled_from(list(it.Outcome))
+TTL = st.sampled_from([30.0, 400.0, 2500.0])
+STEP = st.one_of(
+    st.tuples(st.just("arrive"), st.integers(0, 2), st.integers(0, 4), TTL),
+    st.tuples(st.just("end"), st.integers(0, 9), OUTCOMES, st.sampled_from(list(it.Found))),
+    st.tuples(st.just("settle"), st.integers(0, 9), OUTCOMES),
+    st.tuples(st.just("wait"), st.sampled_from([0.0, 3.0, 40.0, 300.0, 1200.0])),
+    st.tuples(st.just("depart"), st.integers(0, 9)),
+    st.tuples(st.just("roster"), st.integers(0, 4), st.sampled_from(list(it.Status)), st.booleans()),
+    st.tuples(st.just("replace"), st.integers(0, 4)),
+)
+
+
+def groups():
+    return [group("free"), group("once", it.Effect.NON_RETRIABLE), group("all", it.Effect.DEDUPED),
+            group("zone", it.Effect.DEDUPED, it.Scope.ZONE), group("cell", it.Effect.DEDUPED, it.Scope.CELL)]
+
+
+def place(number):
+    return dict(zone="ab"[number % 2], cell=str(number // 2))
+
+
+@settings(max_examples=400, deadline=None, derandomize=True, database=None)
+@given(st.lists(STEP, max_size=60), st.booleans(), st.booleans(), st.booleans(), st.sampled_from([0.0, 1e3]))
+def test_every_act_is_allowed(steps, loads_on_miss, duplicates, orders, ration):
+    world = World(deployment(*groups(), loads_on_miss=loads_on_miss, may_duplicate=duplicates,
+                             may_order=orders, order_window=ration, order_floor=1.0, order_share=0.3))
+    for n in range(4):
+        world.roster(f"w{n}", **place(n))
+    for step, *how in steps:
+        if step == "arrive":
+            world.arrive(f"m{how[0]}", world.dep.groups[how[1]], how[2])
+        elif step == "end" and world.out:
+            forward = list(world.out)[how[0] % len(world.out)]
+            if how[1] is not it.Outcome.RETURNED or forward.inference in world.open:
+                world.end(forward, how[1], how[2])
+        elif step == "settle" and world.orders:
+            world.settle(world.orders[how[0] % len(world.orders)], how[1])
+        elif step == "wait":
+            world.wait(how[0])
+        elif step == "depart" and world.open:
+            world.depart(list(world.open)[how[0] % len(world.open)])
+        elif step == "roster":
+            world.roster(f"w{how[0]}", status=how[1], started=world.now if how[2] else 0.0, **place(how[0]))
+        elif step == "replace":
+            for n in range(how[0]):
+                world.roster(f"w{n}", kind=it.News.UPDATE, **place(n))
+            world.roster(*[f"w{n}" for n in range(4) if n % 2 == 0 and n < how[0]], kind=it.News.REPLACE)
+    world.wait(12000.0)
+    assert not world.open, "an inference without an answer"
