--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -24,6 +24,11 @@
 SLOW_PACE = 2.5
 # Trials of a suspect thin out, so that a long silence costs few inferences.
 FIRST_TRIAL, LAST_TRIAL = 1000.0, 8000.0
+# Own inferences in flight that an invoker takes before anything of it is known.
+FIRST_WINDOW = 4.0
+# Parts of the SLO time: answers slower than the first on the average narrow an invoker's window, faster than
+# the second widen it; an inference held here longer than the third is shed.
+STRAINED, EASY, HELD = 0.6, 0.4, 0.5
 # The cold budget is kept with this part in hand: arrivals bunch, and the clock of a start is told roughly.
 COLD_CAUTION = 0.8
 
@@ -49,7 +54,8 @@
 class _Pod:
     """What is believed of one invoker."""
     __slots__ = ("invoker", "zone", "kind", "cell", "serving", "started", "out", "held", "heard", "new",
-                 "pace", "suspect", "trial_at", "trial_gap", "full_until", "spent", "carried", "rate")
+                 "pace", "suspect", "trial_at", "trial_gap", "full_until", "spent", "carried", "rate", "window",
+                 "strain", "narrowed")
 
     def __init__(self, invoker, now: float):
         self.invoker = invoker
@@ -63,7 +69,8 @@
     def forget(self, now: float):
         self.heard, self.new, self.pace = now, True, 1.0
         self.suspect, self.trial_at, self.trial_gap, self.full_until = False, 0.0, FIRST_TRIAL, 0.0
-        self.carried = self.rate = 0.0
+        self.carried = self.rate = self.strain = self.narrowed = 0.0
+        self.window = FIRST_WINDOW
 
     @property
     def load(self) -> int:
@@ -130,7 +137,7 @@
         self.dues: list[tuple[float, int, object]] = []
         self.counter = 0
         self.armed = float("inf")
-        self.pulsing = False
+        self.pulsing = self.freed = False
         self.orders: deque[float] = deque()
         self.arrivals: deque[float] = deque()
         self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
@@ -151,6 +158,8 @@
             handler = self.handlers.get(type(event))
             if handler:
                 handler(event)
+        if self.freed:
+            self._unpark()
         if self.dues and self.dues[0][0] < self.armed:
             self.armed = self.dues[0][0]
             self.actions.append(SetTimer(max(0.0, self.armed - now), DUE))
@@ -260,9 +269,8 @@
             if not mind.out:
                 self._finish(inf)
             return
-        pods = [pod for pod in self._healthy() if self._may_forward(inf, pod)]
-        untried = [pod for pod in pods if pod not in mind.tried]
-        pods = untried or pods
+        pods = [pod for pod in self._healthy() if pod.load < pod.window and self._may_forward(inf, pod)]
+        pods = [pod for pod in pods if pod not in mind.tried] or pods
         trial = next((pod for pod in self.pods if pod.suspect and self.now >= pod.trial_at
                       and not inf.forwards and self._may_forward(inf, pod)), None)
         if trial and inf.group.effect is not Effect.NON_RETRIABLE:
@@ -450,12 +458,14 @@
         load = mdl.loads.get(pod)
         if load and not load.ordered and pod not in mdl.busy:
             del mdl.loads[pod]
+        self.freed = True
         if outcome in ALIVE:
             pod.heard = self.now
         if outcome is Outcome.RETURNED:
             self._learn(inf, mdl, pod, event)
         elif outcome is Outcome.FULL:
             pod.full_until = self.now + self.usual[inf.group].mean
+            self._narrow(pod, 0.7, inf.group)
         elif outcome in (Outcome.UNCONNECTED, Outcome.RESET):
             self._doubt(pod)
             self._strike(pod)
@@ -498,6 +508,11 @@
             if event.found is Found.BEGAN_LOAD:
                 self.loading.add(event.elapsed)
             return
+        pod.strain += 0.2 * (event.elapsed / inf.group.slo_time - pod.strain)
+        if pod.strain > STRAINED:
+            self._narrow(pod, 0.8, inf.group)
+        elif pod.strain < EASY and pod.load + 2 > pod.window:
+            pod.window += 0.5
         usual = self.usual[inf.group]
         ratio = event.elapsed / max(usual.mean, 1e-3)
         pod.pace += 0.2 * (min(ratio, 20.0) - pod.pace)
@@ -553,15 +568,29 @@
                     self._doubt(pod)
         if any(pod.suspect for pod in self.pods):
             self._rescue()
+        self._unpark()
+
+    def _unpark(self):
+        """Work that no invoker has room for waits here, where it can still go to any of them; what has waited
+        too long to be in time is shed at once, before it costs anybody work."""
+        self.freed = False
         for inf in list(self.parked):
             mind = inf.belief
-            del self.parked[inf]
-            mind.parked = False
-            if self.now - mind.arrived > inf.group.slo_time:
+            if mind is None or not mind.parked:
+                continue
+            if self.now - mind.arrived > HELD * inf.group.slo_time:
                 self._finish(inf)
-            else:
+            elif any(pod.load < pod.window and pod.full_until <= self.now for pod in self._healthy()):
+                del self.parked[inf]
+                mind.parked = False
                 self._place(inf)
 
+    def _narrow(self, pod: _Pod, factor: float, group):
+        """One narrowing for one wave of bad news: the answers still out were sent under the old window."""
+        if self.now - pod.narrowed > self.usual[group].mean:
+            pod.narrowed = self.now
+            pod.window = max(1.0, factor * min(pod.window, pod.load + 1.0))
+
     def _patience(self, forward: Forward) -> float:
         inf, pod = forward.inference, forward.belief.pod
         wait = max(self.usual[inf.group].patience, inf.group.slo_time / 2)
