Bound own work on each invoker and own loads at once; hold briefly, then shed

Cause: every full answer was met by another forward and every inference beyond the warm lanes began a load. Covers bursts, slow invokers and a slow store too, as all show in the same two times. May hurt where a few heavy inferences look like strain.

--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import zlib
 from collections import deque
 
@@ -22,10 +23,14 @@
 ALIVE = (Outcome.RETURNED, Outcome.ERROR, Outcome.FULL, Outcome.MISS)
 # A colleague twice as slow is another kind of machine; beyond that it is in trouble.
 SLOW_PACE = 2.5
+# Loads differ by their model's size; beyond this many times the quickest they wait for each other.
+SLOW_LOAD = 3.0
 # Trials of a suspect thin out, so that a long silence costs few inferences.
 FIRST_TRIAL, LAST_TRIAL = 1000.0, 8000.0
 # Own inferences in flight that an invoker takes before anything of it is known.
 FIRST_WINDOW = 4.0
+# Inferences held here that are looked at whenever an invoker frees; all of them are at each pulse.
+FEW = 4
 # Parts of the SLO time: answers slower than the first on the average narrow an invoker's window, faster than
 # the second widen it; an inference held here longer than the third is shed.
 STRAINED, EASY, HELD = 0.6, 0.4, 0.5
@@ -54,21 +59,22 @@
 class _Pod:
     """What is believed of one invoker."""
     __slots__ = ("invoker", "zone", "kind", "cell", "serving", "started", "out", "held", "heard", "new",
-                 "pace", "suspect", "trial_at", "trial_gap", "full_until", "spent", "carried", "rate", "window",
-                 "strain", "narrowed")
+                 "pace", "suspect", "trial_at", "trial_gap", "full_until", "spent", "carried", "rate",
+                 "window", "strain", "narrowed", "cold", "crammed_until")
 
     def __init__(self, invoker, now: float):
         self.invoker = invoker
         self.spent: deque[tuple[float, float]] = deque()
         self.out: dict[Forward, None] = {}
-        self.held = 0
+        self.held = self.cold = 0
         self.zone = self.kind = self.cell = ""
         self.serving, self.started = False, -1.0
         self.forget(now)
 
     def forget(self, now: float):
         self.heard, self.new, self.pace = now, True, 1.0
-        self.suspect, self.trial_at, self.trial_gap, self.full_until = False, 0.0, FIRST_TRIAL, 0.0
+        self.suspect, self.trial_at, self.trial_gap = False, 0.0, FIRST_TRIAL
+        self.full_until = self.crammed_until = 0.0
         self.carried = self.rate = self.strain = self.narrowed = 0.0
         self.window = FIRST_WINDOW
 
@@ -76,6 +82,11 @@
     def load(self) -> int:
         return len(self.out) + self.held
 
+    @property
+    def room(self) -> bool:
+        """Inferences that wait for a load take no core: they must not keep the warm copies beside it idle."""
+        return len(self.out) - self.cold < self.window
+
 
 class _Entry:
     __slots__ = ("until", "copies")
@@ -119,10 +130,10 @@
 
 
 class _Sent:
-    __slots__ = ("pod", "at", "rescued")
+    __slots__ = ("pod", "at", "cold", "rescued")
 
-    def __init__(self, pod: _Pod, at: float):
-        self.pod, self.at, self.rescued = pod, at, False
+    def __init__(self, pod: _Pod, at: float, cold: bool):
+        self.pod, self.at, self.cold, self.rescued = pod, at, cold, False
 
 
 class Controller:
@@ -141,6 +152,8 @@
         self.orders: deque[float] = deque()
         self.arrivals: deque[float] = deque()
         self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
+        self.loads: dict[_Load, None] = {}
+        self.load_window, self.load_floor, self.eased = 16.0, 0.0, 0.0
         self.loading = _Usual(max(group.slo_time for group in deployment.groups))
         self.handlers = {
             Arrived: self._arrived, Departed: self._departed, Ended: self._ended, Streaming: self._streaming,
@@ -158,8 +171,8 @@
             handler = self.handlers.get(type(event))
             if handler:
                 handler(event)
-        if self.freed:
-            self._unpark()
+        if self.freed and self.parked:
+            self._unpark(FEW)
         if self.dues and self.dues[0][0] < self.armed:
             self.armed = self.dues[0][0]
             self.actions.append(SetTimer(max(0.0, self.armed - now), DUE))
@@ -269,7 +282,7 @@
             if not mind.out:
                 self._finish(inf)
             return
-        pods = [pod for pod in self._healthy() if pod.load < pod.window and self._may_forward(inf, pod)]
+        pods = [pod for pod in self._healthy() if pod.room and self._may_forward(inf, pod)]
         pods = [pod for pod in pods if pod not in mind.tried] or pods
         trial = next((pod for pod in self.pods if pod.suspect and self.now >= pod.trial_at
                       and not inf.forwards and self._may_forward(inf, pod)), None)
@@ -312,10 +325,17 @@
             else:
                 self._forward(inf, best.pod)
             return
-        pod = self._least(pods, fallback=True)
-        if self.dep.loads_on_miss:
-            mdl.loads.setdefault(pod, _Load(pod, self.now, False))
-        self._forward(inf, pod)
+        bare = [pod for pod in pods if pod.crammed_until <= self.now]
+        if bare and len(self.loads) < self.load_window:
+            pod = self._least(bare, fallback=True)
+            if self.dep.loads_on_miss and pod not in mdl.loads:
+                self._set_going(mdl, pod, False)
+            self._forward(inf, pod)
+        elif warm:
+            self._forward(inf, best)
+        elif not inf.belief.out:
+            inf.belief.parked = True
+            self.parked[inf] = None
 
     def _least(self, pods: list[_Pod], fallback: bool = False) -> _Pod:
         mean = sum(pod.load for pod in self.pods) / max(1, len(self.pods))
@@ -323,8 +343,8 @@
                                           self._chance()))
 
     def _spread(self, mdl: _Mdl, pods: list[_Pod]):
-        bare = [pod for pod in pods if pod not in mdl.warm]
-        if bare:
+        bare = [pod for pod in pods if pod not in mdl.warm and pod.crammed_until <= self.now]
+        if bare and len(self.loads) < self.load_window:
             self._order(mdl, self._least(bare, fallback=True))
 
     def _order(self, mdl: _Mdl, pod: _Pod) -> _Load | None:
@@ -334,10 +354,34 @@
             return None
         self.orders.append(self.now)
         self.actions.append(Order(pod.invoker, mdl.model, 1))
-        load = mdl.loads[pod] = _Load(pod, self.now, True)
+        load = self._set_going(mdl, pod, True)
         self._due(self.now + self._load_patience(mdl), (mdl, load))
         return load
 
+    def _set_going(self, mdl: _Mdl, pod: _Pod, ordered: bool) -> _Load:
+        load = mdl.loads[pod] = _Load(pod, self.now, ordered)
+        self.loads[load] = None
+        return load
+
+    def _over(self, mdl: _Mdl, load: _Load):
+        if mdl.loads.get(load.pod) is load:
+            del mdl.loads[load.pod]
+            del self.loads[load]
+
+    def _ease_loads(self, good: bool, elapsed: float = 0.0):
+        """Loads this slow beside the quickest seen wait for each other, at the store or for room: more at once
+        only lengthens them all, and a store pushed far over its capacity stops."""
+        if good:
+            gap = elapsed - self.load_floor
+            self.load_floor = elapsed if not self.loading.seen else (
+                self.load_floor + gap * (0.02 if gap > 0 else 0.2))
+            self.loading.add(elapsed)
+        if good and elapsed < SLOW_LOAD * self.load_floor:
+            self.load_window += 1.0 / self.load_window
+        elif self.now - self.eased > self.loading.mean:
+            self.eased = self.now
+            self.load_window = max(1.0, 0.7 * min(self.load_window, len(self.loads) + 1.0))
+
     def _hold(self, inf: Inference, load: _Load):
         inf.belief.load = load
         load.waiting[inf] = None
@@ -362,8 +406,7 @@
 
     def _abandon(self, mdl: _Mdl, load: _Load):
         """The load came to nothing, or not in time: its inferences go on by the fallback."""
-        if mdl.loads.get(load.pod) is load:
-            del mdl.loads[load.pod]
+        self._over(mdl, load)
         for inf in list(load.waiting):
             self._unhold(inf, inf.belief)
             inf.belief.tried.append(load.pod)
@@ -375,7 +418,8 @@
         if not self._may_forward(inf, pod):
             raise AssertionError("a forward that the rules forbid")
         forward = Forward(inf, pod.invoker, mind.until - self.now)
-        forward.belief = _Sent(pod, self.now)
+        forward.belief = _Sent(pod, self.now, pod not in mdl.warm)
+        pod.cold += forward.belief.cold
         inf.forwards.append(forward)
         mind.tried.append(pod)
         mind.out[forward] = None
@@ -452,20 +496,26 @@
         inf, sent = forward.inference, forward.belief
         pod, mdl = sent.pod, inf.model.belief
         pod.out.pop(forward, None)
+        pod.cold -= sent.cold
         mdl.busy[pod] -= 1
         if not mdl.busy[pod]:
             del mdl.busy[pod]
         load = mdl.loads.get(pod)
         if load and not load.ordered and pod not in mdl.busy:
-            del mdl.loads[pod]
+            self._over(mdl, load)
         self.freed = True
         if outcome in ALIVE:
             pod.heard = self.now
         if outcome is Outcome.RETURNED:
-            self._learn(inf, mdl, pod, event)
+            self._learn(inf, mdl, sent, event)
         elif outcome is Outcome.FULL:
-            pod.full_until = self.now + self.usual[inf.group].mean
-            self._narrow(pod, 0.7, inf.group)
+            # Turned away with the model warm: too much work. Without: no memory or no place among its loads.
+            if sent.cold:
+                pod.crammed_until = self.now + self.loading.mean
+                self._ease_loads(False)
+            else:
+                pod.full_until = self.now + self.usual[inf.group].mean
+                self._narrow(pod, 0.7, inf.group)
         elif outcome in (Outcome.UNCONNECTED, Outcome.RESET):
             self._doubt(pod)
             self._strike(pod)
@@ -496,7 +546,8 @@
         else:
             self._place(inf)
 
-    def _learn(self, inf: Inference, mdl: _Mdl, pod: _Pod, event: Ended):
+    def _learn(self, inf: Inference, mdl: _Mdl, sent: _Sent, event: Ended):
+        pod = sent.pod
         pod.new = False
         pod.carried += self.usual[inf.group].mean
         cold = event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD)
@@ -506,12 +557,14 @@
             mdl.warm[pod] = _Entry(self.now + self.dep.keep_alive, copies)
         if cold:
             if event.found is Found.BEGAN_LOAD:
-                self.loading.add(event.elapsed)
+                self._ease_loads(True, event.elapsed)
             return
         pod.strain += 0.2 * (event.elapsed / inf.group.slo_time - pod.strain)
+        if sent.cold:
+            self.load_window += 1.0 / self.load_window
         if pod.strain > STRAINED:
             self._narrow(pod, 0.8, inf.group)
-        elif pod.strain < EASY and pod.load + 2 > pod.window:
+        elif pod.strain < EASY and len(pod.out) - pod.cold + 2 > pod.window:
             pod.window += 0.5
         usual = self.usual[inf.group]
         ratio = event.elapsed / max(usual.mean, 1e-3)
@@ -527,13 +580,14 @@
         load = mdl.loads.get(pod)
         if event.outcome is Outcome.RETURNED and pod.serving:
             mdl.warm[pod] = _Entry(self.now + self.dep.keep_alive, max(1, event.standing))
-            self.loading.add(event.elapsed)
+            if load and load.ordered:
+                self._ease_loads(True, event.elapsed)
         if load is None or not load.ordered:
             return
         if event.outcome is not Outcome.RETURNED:
             self._abandon(mdl, load)
             return
-        del mdl.loads[pod]
+        self._over(mdl, load)
         for inf in list(load.waiting):
             self._unhold(inf, inf.belief)
             if self._may_forward(inf, pod):
@@ -568,28 +622,25 @@
                     self._doubt(pod)
         if any(pod.suspect for pod in self.pods):
             self._rescue()
-        self._unpark()
+        self._unpark(len(self.parked))
 
-    def _unpark(self):
+    def _unpark(self, most: int):
         """Work that no invoker has room for waits here, where it can still go to any of them; what has waited
         too long to be in time is shed at once, before it costs anybody work."""
         self.freed = False
-        for inf in list(self.parked):
-            mind = inf.belief
-            if mind is None or not mind.parked:
-                continue
-            if self.now - mind.arrived > HELD * inf.group.slo_time:
+        for inf in list(itertools.islice(self.parked, most)):
+            if self.now - inf.belief.arrived > HELD * inf.group.slo_time:
                 self._finish(inf)
-            elif any(pod.load < pod.window and pod.full_until <= self.now for pod in self._healthy()):
+            else:
                 del self.parked[inf]
-                mind.parked = False
+                inf.belief.parked = False
                 self._place(inf)
 
     def _narrow(self, pod: _Pod, factor: float, group):
         """One narrowing for one wave of bad news: the answers still out were sent under the old window."""
         if self.now - pod.narrowed > self.usual[group].mean:
             pod.narrowed = self.now
-            pod.window = max(1.0, factor * min(pod.window, pod.load + 1.0))
+            pod.window = max(1.0, factor * min(pod.window, len(pod.out) - pod.cold + 1.0))
 
     def _patience(self, forward: Forward) -> float:
         inf, pod = forward.inference, forward.belief.pod
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,37 @@
+"""One small day for each failure that was found."""
+from world import World, deployment
+
+from sprucespool import interface as it
+
+
+def forwards(actions):
+    return [action for action in actions if isinstance(action, it.Forward)]
+
+
+def test_a_full_list_withdraws_every_invoker_it_leaves_out():
+    world = World(deployment())
+    world.roster("w0", "w1", "w2")
+    world.roster("w0", kind=it.News.REPLACE)
+    sent = [forward.invoker.name for n in range(6) for forward in forwards(world.arrive(f"m{n}")[1])]
+    assert sent and set(sent) == {"w0"}
+
+
+def test_refusals_narrow_an_invoker_instead_of_being_met_with_more():
+    world = World(deployment())
+    world.roster("w0")
+    world.end(forwards(world.arrive("m")[1])[0])
+    first = [world.arrive("m")[0] for _ in range(8)]
+    for forward in list(world.out):
+        world.wait(300.0)
+        world.end(forward, it.Outcome.FULL)
+    world.wait(5000.0)
+    assert not world.open and all(len(inf.forwards) <= 2 for inf in first)
+
+
+def test_inferences_waiting_for_a_load_leave_a_warm_copy_open():
+    world = World(deployment())
+    world.roster("w0")
+    world.end(forwards(world.arrive("warm")[1])[0])
+    for n in range(8):
+        world.arrive(f"cold{n}")
+    assert forwards(world.arrive("warm")[1])
