--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -14,7 +14,7 @@
 from sprucespool.interface import (
     Arrived, CallOff, Departed, Deployment, Effect, Ended, Fail, Forward, Found, Inference, News, Order,
     OrderSettled, Outcome, RosterEntry, RosterNews, Scope, SetTimer, Shed, Status, Streaming, Subscribe,
-    TimerDue,
+    Tenant, TimerDue,
 )
 
 PULSE, DUE = 1, 2
@@ -23,6 +23,8 @@
 ALIVE = (Outcome.RETURNED, Outcome.ERROR, Outcome.FULL, Outcome.MISS)
 # A colleague twice as slow is another kind of machine; beyond that it is in trouble.
 SLOW_PACE = 2.5
+# Idle times for which the last warm copy of a model is held beyond its use.
+RENEWALS = 3.0
 # Loads differ by their model's size; beyond this many times the quickest they wait for each other.
 SLOW_LOAD = 3.0
 # Trials of a suspect thin out, so that a long silence costs few inferences.
@@ -33,7 +35,7 @@
 FEW = 4
 # Parts of the SLO time: answers slower than the first on the average narrow an invoker's window, faster than
 # the second widen it; an inference held here longer than the third is shed.
-STRAINED, EASY, HELD = 0.6, 0.4, 0.5
+STRAINED, EASY, HELD = 0.6, 0.4, 0.3
 # The cold budget is kept with this part in hand: arrivals bunch, and the clock of a start is told roughly.
 COLD_CAUTION = 0.8
 
@@ -106,11 +108,12 @@
 
 class _Mdl:
     """What is believed of one model: its queue of warm invokers, own lanes taken, loads under way."""
-    __slots__ = ("model", "lanes", "load_time", "warm", "busy", "loads")
+    __slots__ = ("model", "lanes", "load_time", "warm", "busy", "loads", "asked", "asked_at")
 
     def __init__(self, model):
         self.model = model
         self.lanes, self.load_time = 1, None
+        self.asked, self.asked_at = 0, 0.0
         self.warm: dict[_Pod, _Entry] = {}
         self.busy: dict[_Pod, int] = {}
         self.loads: dict[_Pod, _Load] = {}
@@ -118,10 +121,10 @@
 
 class _Inf:
     """An inference still owed an answer."""
-    __slots__ = ("arrived", "until", "ran", "out", "tried", "load", "parked")
+    __slots__ = ("arrived", "until", "ran", "out", "tried", "load", "parked", "over_share")
 
-    def __init__(self, arrived: float, until: float):
-        self.arrived, self.until = arrived, until
+    def __init__(self, arrived: float, until: float, over_share: bool):
+        self.arrived, self.until, self.over_share = arrived, until, over_share
         self.ran: list[tuple[_Pod, float]] = []
         self.out: dict[Forward, None] = {}
         self.tried: list[_Pod] = []
@@ -152,6 +155,7 @@
         self.orders: deque[float] = deque()
         self.arrivals: deque[float] = deque()
         self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
+        self.buckets: dict[Tenant, tuple[float, float]] = {}
         self.loads: dict[_Load, None] = {}
         self.load_window, self.load_floor, self.eased = 16.0, 0.0, 0.0
         self.loading = _Usual(max(group.slo_time for group in deployment.groups))
@@ -234,12 +238,23 @@
         if mdl is None:
             mdl = inf.model.belief = _Mdl(inf.model)
             self.known[inf.model] = mdl
+        mdl.asked, mdl.asked_at = mdl.asked + 1, self.now
         mdl.lanes = inf.lanes or mdl.lanes
         mdl.load_time = inf.load_time or mdl.load_time
-        inf.belief = _Inf(self.now, self.now + max(0.0, inf.ttl - 2 * self.dep.tick))
+        until = self.now + max(0.0, inf.ttl - 2 * self.dep.tick)
+        inf.belief = _Inf(self.now, until, inf.tenant is not None and self._beyond_share(inf.tenant))
         self._due(inf.belief.until, inf)
         self._place(inf)
 
+    def _beyond_share(self, tenant: Tenant) -> bool:
+        """Own part of the tenant's share, as a bucket of one second: what it sends beyond is worth little, so
+        it is the first to go where there is no room for all."""
+        part = tenant.quota_per_s / self.dep.controllers
+        level, at = self.buckets.get(tenant, (part, self.now))
+        level = min(part, level + part * (self.now - at) / 1000.0) - 1.0
+        self.buckets[tenant] = max(level, -1.0), self.now
+        return level < 0.0
+
     def _departed(self, event: Departed):
         self._close(event.inference)
 
@@ -296,10 +311,7 @@
         if free:
             self._forward(inf, self._least(free))
         elif not pods:
-            if mind.out:
-                return
-            mind.parked = True
-            self.parked[inf] = None
+            self._park(inf)
         else:
             self._beyond(inf, mdl, pods, warm)
 
@@ -333,7 +345,15 @@
             self._forward(inf, pod)
         elif warm:
             self._forward(inf, best)
-        elif not inf.belief.out:
+        else:
+            self._park(inf)
+
+    def _park(self, inf: Inference):
+        if inf.belief.out:
+            return
+        if inf.belief.over_share or self._hopeless(inf):
+            self._finish(inf)
+        else:
             inf.belief.parked = True
             self.parked[inf] = None
 
@@ -369,7 +389,7 @@
             del self.loads[load]
 
     def _ease_loads(self, good: bool, elapsed: float = 0.0):
-        """Loads this slow beside the quickest seen wait for each other, at the store or for room: more at once
+        """Loads this slow beside the quickest seen wait for each other, at the store or room: more at once
         only lengthens them all, and a store pushed far over its capacity stops."""
         if good:
             gap = elapsed - self.load_floor
@@ -622,26 +642,44 @@
                     self._doubt(pod)
         if any(pod.suspect for pod in self.pods):
             self._rescue()
+        for mdl in self._models():
+            self._renew(mdl)
         self._unpark(len(self.parked))
 
     def _unpark(self, most: int):
-        """Work that no invoker has room for waits here, where it can still go to any of them; what has waited
-        too long to be in time is shed at once, before it costs anybody work."""
+        """Work that no invoker has room for waits here, where it can still go to any of them. Newest first:
+        in a lasting overload the oldest first would make all of it late."""
         self.freed = False
-        for inf in list(itertools.islice(self.parked, most)):
-            if self.now - inf.belief.arrived > HELD * inf.group.slo_time:
+        for inf in list(itertools.islice(reversed(self.parked), most)):
+            if self._hopeless(inf):
                 self._finish(inf)
             else:
                 del self.parked[inf]
                 inf.belief.parked = False
                 self._place(inf)
 
+    def _hopeless(self, inf: Inference) -> bool:
+        """Held too long to be in time: shed at once, before it costs anybody work."""
+        usual, slo = self.usual[inf.group], inf.group.slo_time
+        return self.now - inf.belief.arrived > min(HELD * slo, slo - usual.mean - usual.spread)
+
     def _narrow(self, pod: _Pod, factor: float, group):
         """One narrowing for one wave of bad news: the answers still out were sent under the old window."""
         if self.now - pod.narrowed > self.usual[group].mean:
             pod.narrowed = self.now
             pod.window = max(1.0, factor * min(pod.window, len(pod.out) - pod.cold + 1.0))
 
+    def _renew(self, mdl: _Mdl):
+        """Against the load that a call at about the pace of the keep-alive meets each time: the last entry of a
+        model asked for more than once is held by an order for some idle times more."""
+        for pod in [pod for pod, entry in mdl.warm.items() if entry.until <= self.now]:
+            del mdl.warm[pod]
+        if not mdl.warm or mdl.asked < 2 or self.now - mdl.asked_at > RENEWALS * self.dep.keep_alive:
+            return
+        pod, entry = max(mdl.warm.items(), key=lambda item: item[1].until)
+        if entry.until - self.now <= 3 * PULSE_EVERY and not pod.suspect and pod not in mdl.loads:
+            self._order(mdl, pod)
+
     def _patience(self, forward: Forward) -> float:
         inf, pod = forward.inference, forward.belief.pod
         wait = max(self.usual[inf.group].patience, inf.group.slo_time / 2)
