--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -25,8 +25,9 @@
 SLOW_PACE = 2.5
 # Idle times for which the last warm copy of a model is held beyond its use.
 RENEWALS = 3.0
-# Loads differ by their model's size; beyond this many times the quickest they wait for each other.
-SLOW_LOAD = 3.0
+# Loads this many times longer than they should take wait for each other; own loads at once that are always
+# let be, since an invoker that stays empty helps nobody; and the time of an order that found a copy standing.
+SLOW_LOAD, FEWEST_LOADS, AT_ONCE = 2.0, 1.0, 20.0
 # Trials of a suspect thin out, so that a long silence costs few inferences.
 FIRST_TRIAL, LAST_TRIAL = 1000.0, 8000.0
 # Own inferences in flight that an invoker takes before anything of it is known.
@@ -108,12 +109,12 @@
 
 class _Mdl:
     """What is believed of one model: its queue of warm invokers, own lanes taken, loads under way."""
-    __slots__ = ("model", "lanes", "load_time", "warm", "busy", "loads", "asked", "asked_at")
+    __slots__ = ("model", "lanes", "load_time", "warm", "busy", "loads", "asked", "asked_at", "renewed")
 
     def __init__(self, model):
         self.model = model
         self.lanes, self.load_time = 1, None
-        self.asked, self.asked_at = 0, 0.0
+        self.asked, self.asked_at, self.renewed = 0, 0.0, float("-inf")
         self.warm: dict[_Pod, _Entry] = {}
         self.busy: dict[_Pod, int] = {}
         self.loads: dict[_Pod, _Load] = {}
@@ -157,7 +158,7 @@
         self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
         self.buckets: dict[Tenant, tuple[float, float]] = {}
         self.loads: dict[_Load, None] = {}
-        self.load_window, self.load_floor, self.eased = 16.0, 0.0, 0.0
+        self.load_window, self.load_floor, self.eased = 4.0, 0.0, 0.0
         self.loading = _Usual(max(group.slo_time for group in deployment.groups))
         self.handlers = {
             Arrived: self._arrived, Departed: self._departed, Ended: self._ended, Streaming: self._streaming,
@@ -338,7 +339,7 @@
                 self._forward(inf, best.pod)
             return
         bare = [pod for pod in pods if pod.crammed_until <= self.now]
-        if bare and len(self.loads) < self.load_window:
+        if bare and self._may_load(bool(warm)):
             pod = self._least(bare, fallback=True)
             if self.dep.loads_on_miss and pod not in mdl.loads:
                 self._set_going(mdl, pod, False)
@@ -364,7 +365,7 @@
 
     def _spread(self, mdl: _Mdl, pods: list[_Pod]):
         bare = [pod for pod in pods if pod not in mdl.warm and pod.crammed_until <= self.now]
-        if bare and len(self.loads) < self.load_window:
+        if bare and self._may_load(True):
             self._order(mdl, self._least(bare, fallback=True))
 
     def _order(self, mdl: _Mdl, pod: _Pod) -> _Load | None:
@@ -372,35 +373,42 @@
             return mdl.loads[pod]
         if not self._may_order(pod):
             return None
-        self.orders.append(self.now)
-        self.actions.append(Order(pod.invoker, mdl.model, 1))
+        self._send_order(mdl, pod)
         load = self._set_going(mdl, pod, True)
         self._due(self.now + self._load_patience(mdl), (mdl, load))
         return load
 
+    def _send_order(self, mdl: _Mdl, pod: _Pod):
+        self.orders.append(self.now)
+        self.actions.append(Order(pod.invoker, mdl.model, 1))
+
     def _set_going(self, mdl: _Mdl, pod: _Pod, ordered: bool) -> _Load:
         load = mdl.loads[pod] = _Load(pod, self.now, ordered)
         self.loads[load] = None
         return load
 
+    def _may_load(self, further: bool) -> bool:
+        """A further copy of a model that stands warm elsewhere gives way to first copies."""
+        return len(self.loads) < (max(1.0, self.load_window / 4) if further else self.load_window)
+
     def _over(self, mdl: _Mdl, load: _Load):
         if mdl.loads.get(load.pod) is load:
             del mdl.loads[load.pod]
             del self.loads[load]
 
-    def _ease_loads(self, good: bool, elapsed: float = 0.0):
-        """Loads this slow beside the quickest seen wait for each other, at the store or room: more at once
-        only lengthens them all, and a store pushed far over its capacity stops."""
-        if good:
-            gap = elapsed - self.load_floor
-            self.load_floor = elapsed if not self.loading.seen else (
-                self.load_floor + gap * (0.02 if gap > 0 else 0.2))
+    def _ease_loads(self, mdl: _Mdl, elapsed: float | None):
+        """Loads this slow beside what they should take wait for each other, at the store or for room: more at
+        once only lengthens them all, and a store pushed too far stops. None: the load came to nothing."""
+        usual = mdl.load_time or 2 * self.load_floor or elapsed
+        if elapsed is not None:
+            gap = elapsed - (self.load_floor or elapsed)
+            self.load_floor = elapsed - gap + gap * (0.02 if gap > 0 else 0.2)
             self.loading.add(elapsed)
-        if good and elapsed < SLOW_LOAD * self.load_floor:
-            self.load_window += 1.0 / self.load_window
+        if elapsed is not None and elapsed < SLOW_LOAD * usual:
+            self.load_window += 2.0 / self.load_window
         elif self.now - self.eased > self.loading.mean:
             self.eased = self.now
-            self.load_window = max(1.0, 0.7 * min(self.load_window, len(self.loads) + 1.0))
+            self.load_window = max(FEWEST_LOADS, 0.7 * min(self.load_window, len(self.loads) + 1.0))
 
     def _hold(self, inf: Inference, load: _Load):
         inf.belief.load = load
@@ -532,7 +540,7 @@
             # Turned away with the model warm: too much work. Without: no memory or no place among its loads.
             if sent.cold:
                 pod.crammed_until = self.now + self.loading.mean
-                self._ease_loads(False)
+                self._ease_loads(mdl, None)
             else:
                 pod.full_until = self.now + self.usual[inf.group].mean
                 self._narrow(pod, 0.7, inf.group)
@@ -577,11 +585,11 @@
             mdl.warm[pod] = _Entry(self.now + self.dep.keep_alive, copies)
         if cold:
             if event.found is Found.BEGAN_LOAD:
-                self._ease_loads(True, event.elapsed)
+                self._ease_loads(mdl, event.elapsed)
             return
         pod.strain += 0.2 * (event.elapsed / inf.group.slo_time - pod.strain)
         if sent.cold:
-            self.load_window += 1.0 / self.load_window
+            self.load_window += 2.0 / self.load_window
         if pod.strain > STRAINED:
             self._narrow(pod, 0.8, inf.group)
         elif pod.strain < EASY and len(pod.out) - pod.cold + 2 > pod.window:
@@ -600,8 +608,8 @@
         load = mdl.loads.get(pod)
         if event.outcome is Outcome.RETURNED and pod.serving:
             mdl.warm[pod] = _Entry(self.now + self.dep.keep_alive, max(1, event.standing))
-            if load and load.ordered:
-                self._ease_loads(True, event.elapsed)
+            if load and load.ordered and event.elapsed > AT_ONCE:
+                self._ease_loads(mdl, event.elapsed)
         if load is None or not load.ordered:
             return
         if event.outcome is not Outcome.RETURNED:
@@ -677,8 +685,10 @@
         if not mdl.warm or mdl.asked < 2 or self.now - mdl.asked_at > RENEWALS * self.dep.keep_alive:
             return
         pod, entry = max(mdl.warm.items(), key=lambda item: item[1].until)
-        if entry.until - self.now <= 3 * PULSE_EVERY and not pod.suspect and pod not in mdl.loads:
-            self._order(mdl, pod)
+        if (entry.until - self.now <= 3 * PULSE_EVERY and self.now - mdl.renewed > self.dep.keep_alive / 2
+                and not pod.suspect and self._may_order(pod)):
+            mdl.renewed = self.now
+            self._send_order(mdl, pod)
 
     def _patience(self, forward: Forward) -> float:
         inf, pod = forward.inference, forward.belief.pod
