--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -27,7 +27,7 @@
 RENEWALS = 3.0
 # Loads this many times longer than they should take wait for each other; own loads at once that are always
 # let be, since an invoker that stays empty helps nobody; and the time of an order that found a copy standing.
-SLOW_LOAD, FEWEST_LOADS, AT_ONCE = 2.0, 1.0, 20.0
+SLOW_LOAD, FEWEST_LOADS, AT_ONCE = 1.5, 1.0, 20.0
 # Trials of a suspect thin out, so that a long silence costs few inferences.
 FIRST_TRIAL, LAST_TRIAL = 1000.0, 8000.0
 # Own inferences in flight that an invoker takes before anything of it is known.
@@ -405,7 +405,7 @@
             self.load_floor = elapsed - gap + gap * (0.02 if gap > 0 else 0.2)
             self.loading.add(elapsed)
         if elapsed is not None and elapsed < SLOW_LOAD * usual:
-            self.load_window += 2.0 / self.load_window
+            self.load_window += 1.0 / self.load_window
         elif self.now - self.eased > self.loading.mean:
             self.eased = self.now
             self.load_window = max(FEWEST_LOADS, 0.7 * min(self.load_window, len(self.loads) + 1.0))
@@ -547,8 +547,11 @@
         elif outcome in (Outcome.UNCONNECTED, Outcome.RESET):
             self._doubt(pod)
             self._strike(pod)
-        elif outcome is not Outcome.CALLED_OFF:
+        elif outcome in (Outcome.ERROR, Outcome.MISS) or outcome is Outcome.TIMED_OUT and not sent.cold:
             mdl.warm.pop(pod, None)
+        elif sent.cold and self.dep.may_order and not pod.suspect:
+            # The load goes on without the inference that began it; another begun elsewhere would double it.
+            self._order(mdl, pod)
         mind = inf.belief
         if mind is None:
             return
@@ -589,7 +592,7 @@
             return
         pod.strain += 0.2 * (event.elapsed / inf.group.slo_time - pod.strain)
         if sent.cold:
-            self.load_window += 2.0 / self.load_window
+            self.load_window += 1.0 / self.load_window
         if pod.strain > STRAINED:
             self._narrow(pod, 0.8, inf.group)
         elif pod.strain < EASY and len(pod.out) - pod.cold + 2 > pod.window:
@@ -691,9 +694,9 @@
             self._send_order(mdl, pod)
 
     def _patience(self, forward: Forward) -> float:
-        inf, pod = forward.inference, forward.belief.pod
+        inf = forward.inference
         wait = max(self.usual[inf.group].patience, inf.group.slo_time / 2)
-        return wait + (self._load_patience(inf.model.belief) if pod in inf.model.belief.loads else 0.0)
+        return wait + (2 * self._load_patience(inf.model.belief) if forward.belief.cold else 0.0)
 
     def _rescue(self):
         healthy = self._healthy()
