--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -12,33 +12,31 @@
 from collections import deque
 
 from sprucespool.interface import (
-    Arrived, CallOff, Departed, Deployment, Effect, Ended, Fail, Forward, Found, Inference, News, Order,
-    OrderSettled, Outcome, RosterEntry, RosterNews, Scope, SetTimer, Shed, Status, Streaming, Subscribe,
-    Tenant, TimerDue,
+    Arrived, CallOff, Departed, Deployment, Effect, Ended, Fail, Forward, Found, Inference, ModelGroup,
+    News, Order, OrderSettled, Outcome, RosterEntry, RosterNews, Scope, SetTimer, Shed, Status, Streaming,
+    Subscribe, Tenant, TimerDue,
 )
 
 PULSE, DUE = 1, 2
 PULSE_EVERY = 100.0
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.NOT_SENT, Outcome.MISS)
-ALIVE = (Outcome.RETURNED, Outcome.ERROR, Outcome.FULL, Outcome.MISS)
 # A colleague twice as slow is another kind of machine; beyond that it is in trouble.
 SLOW_PACE = 2.5
-# Idle times for which the last warm copy of a model is held beyond its use.
-RENEWALS = 3.0
-# Loads this many times longer than they should take wait for each other; own loads at once that are always
-# let be, since an invoker that stays empty helps nobody; and the time of an order that found a copy standing.
-SLOW_LOAD, FEWEST_LOADS, AT_ONCE = 1.5, 1.0, 20.0
 # Trials of a suspect thin out, so that a long silence costs few inferences.
 FIRST_TRIAL, LAST_TRIAL = 1000.0, 8000.0
-# Own inferences in flight that an invoker takes before anything of it is known.
-FIRST_WINDOW = 4.0
-# Inferences held here that are looked at whenever an invoker frees; all of them are at each pulse.
-FEW = 4
+# Own inferences in flight to an invoker, and own loads at once, before anything is known.
+FIRST_WINDOW, FIRST_LOADS = 4.0, 4.0
 # Parts of the SLO time: answers slower than the first on the average narrow an invoker's window, faster than
 # the second widen it; an inference held here longer than the third is shed.
 STRAINED, EASY, HELD = 0.6, 0.4, 0.3
-# The cold budget is kept with this part in hand: arrivals bunch, and the clock of a start is told roughly.
-COLD_CAUTION = 0.8
+# Inferences held here that are looked at with each batch; all of them are at each pulse.
+FEW = 4
+# A load this many times longer than it should take waits for others; one stood already if it took this long.
+SLOW_LOAD, AT_ONCE = 1.5, 20.0
+# Idle times for which the last warm copy of a model is held beyond its use.
+RENEWALS = 3.0
+# The part of the cold budget that is used (arrivals bunch); the time over which carried work is averaged.
+COLD_CAUTION, CARRIED_OVER = 0.8, 5000.0
 
 
 class _Usual:
@@ -51,34 +49,27 @@
     def add(self, figure: float):
         self.seen += 1
         gain = max(0.05, 1.0 / self.seen)
-        self.spread += max(0.05, min(0.5, gain)) * (abs(figure - self.mean) - self.spread)
+        self.spread += min(0.5, gain) * (abs(figure - self.mean) - self.spread)
         self.mean += gain * (figure - self.mean)
 
-    @property
     def patience(self) -> float:
         return self.mean + 4 * self.spread
 
 
 class _Pod:
-    """What is believed of one invoker."""
-    __slots__ = ("invoker", "zone", "kind", "cell", "serving", "started", "out", "held", "heard", "new",
-                 "pace", "suspect", "trial_at", "trial_gap", "full_until", "spent", "carried", "rate",
-                 "window", "strain", "narrowed", "cold", "crammed_until")
-
-    def __init__(self, invoker, now: float):
-        self.invoker = invoker
-        self.spent: deque[tuple[float, float]] = deque()
+    """What is believed of one process of an invoker."""
+    __slots__ = ("invoker", "zone", "kind", "cell", "serving", "started", "out", "held", "cold", "heard",
+                 "new", "pace", "suspect", "trial_at", "trial_gap", "full_until", "spent", "carried", "rate",
+                 "window", "strain", "narrowed")
+
+    def __init__(self, entry: RosterEntry, now: float):
+        self.invoker, self.zone, self.kind, self.cell = entry.invoker, entry.zone, entry.kind, entry.cell
+        self.serving, self.started, self.heard, self.new = False, entry.started, now, True
         self.out: dict[Forward, None] = {}
         self.held = self.cold = 0
-        self.zone = self.kind = self.cell = ""
-        self.serving, self.started = False, -1.0
-        self.forget(now)
-
-    def forget(self, now: float):
-        self.heard, self.new, self.pace = now, True, 1.0
-        self.suspect, self.trial_at, self.trial_gap = False, 0.0, FIRST_TRIAL
-        self.full_until = self.crammed_until = 0.0
-        self.carried = self.rate = self.strain = self.narrowed = 0.0
+        self.pace, self.suspect, self.trial_at, self.trial_gap = 1.0, False, 0.0, FIRST_TRIAL
+        self.full_until = self.carried = self.rate = self.strain = self.narrowed = 0.0
+        self.spent: deque[tuple[float, float]] = deque()
         self.window = FIRST_WINDOW
 
     @property
@@ -86,43 +77,39 @@
         return len(self.out) + self.held
 
     @property
-    def room(self) -> bool:
+    def work(self) -> int:
         """Inferences that wait for a load take no core: they must not keep the warm copies beside it idle."""
-        return len(self.out) - self.cold < self.window
-
-
-class _Entry:
-    __slots__ = ("until", "copies")
-
-    def __init__(self, until: float, copies: int):
-        self.until, self.copies = until, copies
+        return len(self.out) - self.cold
 
 
 class _Load:
     """A load this controller has set going, with the inferences that wait here until it stands."""
-    __slots__ = ("pod", "since", "waiting", "ordered")
+    __slots__ = ("mdl", "pod", "ordered", "waiting")
 
-    def __init__(self, pod: _Pod, since: float, ordered: bool):
-        self.pod, self.since, self.ordered = pod, since, ordered
+    def __init__(self, mdl: _Mdl, pod: _Pod, ordered: bool):
+        self.mdl, self.pod, self.ordered = mdl, pod, ordered
         self.waiting: dict[Inference, None] = {}
 
+    @property
+    def queue(self) -> int:
+        return len(self.waiting) + self.mdl.busy.get(self.pod, 0)
+
 
 class _Mdl:
     """What is believed of one model: its queue of warm invokers, own lanes taken, loads under way."""
     __slots__ = ("model", "lanes", "load_time", "warm", "busy", "loads", "asked", "asked_at", "renewed")
 
     def __init__(self, model):
-        self.model = model
-        self.lanes, self.load_time = 1, None
+        self.model, self.lanes, self.load_time = model, 1, None
         self.asked, self.asked_at, self.renewed = 0, 0.0, float("-inf")
-        self.warm: dict[_Pod, _Entry] = {}
+        self.warm: dict[_Pod, tuple[float, int]] = {}
         self.busy: dict[_Pod, int] = {}
         self.loads: dict[_Pod, _Load] = {}
 
 
 class _Inf:
     """An inference still owed an answer."""
-    __slots__ = ("arrived", "until", "ran", "out", "tried", "load", "parked", "over_share")
+    __slots__ = ("arrived", "until", "over_share", "ran", "out", "tried", "load")
 
     def __init__(self, arrived: float, until: float, over_share: bool):
         self.arrived, self.until, self.over_share = arrived, until, over_share
@@ -130,7 +117,6 @@
         self.out: dict[Forward, None] = {}
         self.tried: list[_Pod] = []
         self.load: _Load | None = None
-        self.parked = False
 
 
 class _Sent:
@@ -142,46 +128,36 @@
 
 class Controller:
     def __init__(self, deployment: Deployment, seed: int):
-        self.dep = deployment
-        self.seed, self.draws = seed, 0
-        self.now = 0.0
-        self.actions: list = []
-        self.pods: list[_Pod] = []
-        self.known: dict = {}
+        self.dep, self.seed, self.draws = deployment, seed, 0
+        self.now, self.armed, self.counter = 0.0, float("inf"), itertools.count()
+        self.actions = [SetTimer(PULSE_EVERY, PULSE)] + [Subscribe(True)] * deployment.roster_asked
+        self.pods, self.dues = [], []
+        self.known: dict[_Mdl, None] = {}
         self.parked: dict[Inference, None] = {}
-        self.dues: list[tuple[float, int, object]] = []
-        self.counter = 0
-        self.armed = float("inf")
-        self.pulsing = self.freed = False
-        self.orders: deque[float] = deque()
-        self.arrivals: deque[float] = deque()
-        self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
-        self.buckets: dict[Tenant, tuple[float, float]] = {}
         self.loads: dict[_Load, None] = {}
-        self.load_window, self.load_floor, self.eased = 4.0, 0.0, 0.0
+        self.orders, self.arrivals = deque(), deque()
+        self.buckets: dict[Tenant, tuple[float, float]] = {}
+        self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
         self.loading = _Usual(max(group.slo_time for group in deployment.groups))
+        self.load_window, self.load_floor, self.eased = FIRST_LOADS, 0.0, 0.0
         self.handlers = {
-            Arrived: self._arrived, Departed: self._departed, Ended: self._ended, Streaming: self._streaming,
-            RosterNews: self._roster, OrderSettled: self._settled, TimerDue: self._timer,
+            Arrived: self._arrived, Ended: self._ended, OrderSettled: self._settled, TimerDue: self._timer,
+            RosterNews: self._roster, Departed: lambda event: self._close(event.inference),
+            Streaming: lambda event: self._close(event.forward.inference, event.forward),
         }
 
     def handle(self, now: float, events: list) -> list:
-        self.now, self.actions = now, []
-        if not self.pulsing:
-            self.pulsing = True
-            self.actions.append(SetTimer(PULSE_EVERY, PULSE))
-            if self.dep.roster_asked:
-                self.actions.append(Subscribe(True))
+        self.now = now
         for event in events:
             handler = self.handlers.get(type(event))
             if handler:
                 handler(event)
-        if self.freed and self.parked:
-            self._unpark(FEW)
+        self._unpark(FEW)
         if self.dues and self.dues[0][0] < self.armed:
             self.armed = self.dues[0][0]
             self.actions.append(SetTimer(max(0.0, self.armed - now), DUE))
-        return self.actions
+        actions, self.actions = self.actions, []
+        return actions
 
     # Roster
 
@@ -192,59 +168,46 @@
             return
         if news.kind is not News.UPDATE:
             named = {entry.invoker: None for entry in news.entries}
-            for pod in list(self.pods):
+            for pod in self.pods:
                 if pod.invoker not in named:
                     self._withdraw(pod)
         for entry in news.entries:
-            self._enter(entry)
-
-    def _enter(self, entry: RosterEntry):
-        pod = entry.invoker.belief
-        if pod is None:
-            pod = entry.invoker.belief = _Pod(entry.invoker, self.now)
-        pod.zone, pod.kind, pod.cell = entry.zone, entry.kind, entry.cell
-        if entry.status is not Status.IN_SERVICE:
-            self._withdraw(pod)
-            return
-        if entry.started != pod.started and pod.started >= 0:
-            # A process started afresh holds nothing that the one before it held.
-            self._strike(pod)
-            pod.forget(self.now)
-        pod.started = entry.started
-        if not pod.serving:
-            pod.serving = True
-            self.pods.append(pod)
+            pod = entry.invoker.belief
+            if pod and (entry.status is not Status.IN_SERVICE or entry.started != pod.started):
+                self._withdraw(pod)
+            if entry.status is Status.IN_SERVICE:
+                if pod is None or entry.started != pod.started:
+                    # A process started afresh holds nothing that the one before it held.
+                    pod = entry.invoker.belief = _Pod(entry, self.now)
+                if not pod.serving:
+                    pod.serving = True
+                    self.pods.append(pod)
 
     def _withdraw(self, pod: _Pod):
-        if pod.serving:
-            pod.serving = False
-            self.pods.remove(pod)
+        pod.serving = False
+        self.pods = [other for other in self.pods if other is not pod]
         self._strike(pod)
 
     def _strike(self, pod: _Pod):
-        for mdl in self._models():
+        for mdl in list(self.known):
             mdl.warm.pop(pod, None)
             if pod in mdl.loads:
-                self._abandon(mdl, mdl.loads[pod])
-
-    def _models(self) -> list[_Mdl]:
-        return list(self.known.values())
+                self._abandon(mdl.loads[pod])
 
     # Inferences
 
     def _arrived(self, event: Arrived):
         inf = event.inference
-        self.arrivals.append(self.now)
         mdl = inf.model.belief
         if mdl is None:
             mdl = inf.model.belief = _Mdl(inf.model)
-            self.known[inf.model] = mdl
+            self.known[mdl] = None
         mdl.asked, mdl.asked_at = mdl.asked + 1, self.now
-        mdl.lanes = inf.lanes or mdl.lanes
-        mdl.load_time = inf.load_time or mdl.load_time
+        mdl.lanes, mdl.load_time = inf.lanes or mdl.lanes, inf.load_time or mdl.load_time
+        self.arrivals.append(self.now)
         until = self.now + max(0.0, inf.ttl - 2 * self.dep.tick)
         inf.belief = _Inf(self.now, until, inf.tenant is not None and self._beyond_share(inf.tenant))
-        self._due(inf.belief.until, inf)
+        self._due(until, inf)
         self._place(inf)
 
     def _beyond_share(self, tenant: Tenant) -> bool:
@@ -256,59 +219,40 @@
         self.buckets[tenant] = max(level, -1.0), self.now
         return level < 0.0
 
-    def _departed(self, event: Departed):
-        self._close(event.inference)
-
-    def _streaming(self, event: Streaming):
-        self._close(event.forward.inference, keep=event.forward)
-
     def _close(self, inf: Inference, keep: Forward | None = None):
         """The inference is answered: whatever is still out for it is work for nobody."""
-        mind = inf.belief
+        mind, inf.belief = inf.belief, None
         if mind is None:
             return
-        inf.belief = None
         self._unhold(inf, mind)
         self.parked.pop(inf, None)
         if self.dep.may_call_off:
-            for forward in mind.out:
-                if forward is not keep:
-                    self.actions.append(CallOff(forward))
-
-    def _unhold(self, inf: Inference, mind: _Inf):
-        if mind.load:
-            mind.load.waiting.pop(inf, None)
-            mind.load.pod.held -= 1
-            mind.load = None
+            self.actions += [CallOff(forward) for forward in mind.out if forward is not keep]
 
     def _finish(self, inf: Inference):
         """Given up: a shed tells the client that another try is harmless, so it goes wherever it is true."""
-        if self._may_shed(inf):
-            wait = min(self.usual[inf.group].mean, self.dep.longest_retry_after)
-            self.actions.append(Shed(inf, wait if self.dep.tells_retry_after else 0.0))
-        else:
-            self.actions.append(Fail(inf))
+        wait = self.dep.tells_retry_after * min(self.usual[inf.group].mean, self.dep.longest_retry_after)
+        self.actions.append(Shed(inf, wait) if self._may_shed(inf) else Fail(inf))
         self._close(inf)
 
     # Placement
 
     def _place(self, inf: Inference):
         mind, mdl = inf.belief, inf.model.belief
-        if len(inf.forwards) >= self.dep.most_forwards or self.now >= mind.until:
+        if not self._may_repeat(inf):
             if not mind.out:
                 self._finish(inf)
             return
-        pods = [pod for pod in self._healthy() if pod.room and self._may_forward(inf, pod)]
-        pods = [pod for pod in pods if pod not in mind.tried] or pods
-        trial = next((pod for pod in self.pods if pod.suspect and self.now >= pod.trial_at
-                      and not inf.forwards and self._may_forward(inf, pod)), None)
-        if trial and inf.group.effect is not Effect.NON_RETRIABLE:
+        allowed = [pod for pod in self.pods if self._may_forward(inf, pod)]
+        trial = next((pod for pod in allowed if pod.suspect and self.now >= pod.trial_at), None)
+        if trial and not inf.forwards and inf.group.effect is not Effect.NON_RETRIABLE:
             trial.trial_gap = min(2 * trial.trial_gap, LAST_TRIAL)
             trial.trial_at = self.now + trial.trial_gap
-            self._forward(inf, trial)
-            return
-        warm = [pod for pod in pods if pod in mdl.warm and mdl.warm[pod].until > self.now]
-        free = [pod for pod in warm if mdl.busy.get(pod, 0) < mdl.lanes * mdl.warm[pod].copies]
+            return self._forward(inf, trial)
+        pods = [pod for pod in self._healthy(allowed) if pod.work < pod.window]
+        pods = [pod for pod in pods if pod not in mind.tried] or pods
+        warm = [pod for pod in pods if pod in mdl.warm and mdl.warm[pod][0] > self.now]
+        free = [pod for pod in warm if mdl.busy.get(pod, 0) < mdl.lanes * mdl.warm[pod][1]]
         if free:
             self._forward(inf, self._least(free))
         elif not pods:
@@ -319,183 +263,200 @@
     def _beyond(self, inf: Inference, mdl: _Mdl, pods: list[_Pod], warm: list[_Pod]):
         """No warm lane is free. Against a burst in which each inference would start a load of its own: one
         waits behind a warm copy, or a load already set going, while that is sooner than one of its own."""
-        usual, load = self.usual[inf.group].mean, self._load_time(mdl)
-        waits = {pod: (mdl.busy.get(pod, 0) / (mdl.lanes * mdl.warm[pod].copies)) * usual for pod in warm}
+        load_time = mdl.load_time if mdl.load_time and not self.loading.seen else self.loading.mean
+        most = mdl.lanes * load_time / max(1.0, self.usual[inf.group].mean)
+        bare = [pod for pod in pods if pod not in warm]
+        queue = {pod: mdl.busy.get(pod, 0) / mdl.warm[pod][1] for pod in warm}
+        # A further copy of a model that stands warm elsewhere gives way to first copies of others.
+        further = bare and len(self.loads) < max(1.0, self.load_window / 4)
         if warm:
-            best = min(warm, key=lambda pod: (waits[pod], pod.load, self._chance()))
-            if waits[best] < load:
-                if not mdl.loads:
-                    self._spread(mdl, pods)
-                self._forward(inf, best)
-                return
-        joinable = [other for other in mdl.loads.values() if other.pod in pods
-                    and (mdl.busy.get(other.pod, 0) + len(other.waiting)) * usual / mdl.lanes < load]
+            best = min(warm, key=lambda pod: (queue[pod], pod.load, self._chance()))
+            if queue[best] < most or not further:
+                if further and not mdl.loads:
+                    self._order(mdl, self._least(bare, fallback=True))
+                return self._forward(inf, best)
+        joinable = [load for load in mdl.loads.values() if load.pod in pods and load.queue < most]
         if joinable:
-            best = min(joinable, key=lambda load: (len(load.waiting) + mdl.busy.get(load.pod, 0),
-                                                   self._chance()))
-            if best.ordered:
-                self._hold(inf, best)
-            else:
-                self._forward(inf, best.pod)
-            return
-        bare = [pod for pod in pods if pod.crammed_until <= self.now]
-        if bare and self._may_load(bool(warm)):
+            load = min(joinable, key=lambda load: (load.queue, self._chance()))
+            self._hold(inf, load) if load.ordered else self._forward(inf, load.pod)
+        elif bare and len(self.loads) < self.load_window:
             pod = self._least(bare, fallback=True)
             if self.dep.loads_on_miss and pod not in mdl.loads:
                 self._set_going(mdl, pod, False)
             self._forward(inf, pod)
-        elif warm:
-            self._forward(inf, best)
         else:
             self._park(inf)
 
-    def _park(self, inf: Inference):
-        if inf.belief.out:
-            return
-        if inf.belief.over_share or self._hopeless(inf):
-            self._finish(inf)
-        else:
-            inf.belief.parked = True
-            self.parked[inf] = None
-
     def _least(self, pods: list[_Pod], fallback: bool = False) -> _Pod:
         mean = sum(pod.load for pod in self.pods) / max(1, len(self.pods))
         return min(pods, key=lambda pod: (mean if fallback and (pod.new or self._cold(pod)) else pod.load,
                                           self._chance()))
 
-    def _spread(self, mdl: _Mdl, pods: list[_Pod]):
-        bare = [pod for pod in pods if pod not in mdl.warm and pod.crammed_until <= self.now]
-        if bare and self._may_load(True):
-            self._order(mdl, self._least(bare, fallback=True))
+    def _park(self, inf: Inference):
+        if not inf.belief.out:
+            if inf.belief.over_share or self._hopeless(inf):
+                return self._finish(inf)
+            self.parked[inf] = None
+
+    def _unpark(self, most: int):
+        """Work that no invoker has room for waits here, where it can still go to any of them. Newest first:
+        in a lasting overload the oldest first would make all of it late."""
+        for inf in list(itertools.islice(reversed(self.parked), most)):
+            if self._hopeless(inf):
+                self._finish(inf)
+            else:
+                del self.parked[inf]
+                self._place(inf)
 
-    def _order(self, mdl: _Mdl, pod: _Pod) -> _Load | None:
-        if pod in mdl.loads:
-            return mdl.loads[pod]
-        if not self._may_order(pod):
-            return None
-        self._send_order(mdl, pod)
-        load = self._set_going(mdl, pod, True)
-        self._due(self.now + self._load_patience(mdl), (mdl, load))
-        return load
+    def _hopeless(self, inf: Inference) -> bool:
+        """Held too long to be in time: shed at once, before it costs anybody work."""
+        usual, slo = self.usual[inf.group], inf.group.slo_time
+        return self.now - inf.belief.arrived > min(HELD * slo, slo - usual.mean - usual.spread)
+
+    def _forward(self, inf: Inference, pod: _Pod):
+        """The one gate through which every forward passes."""
+        mind, mdl = inf.belief, inf.model.belief
+        if not self._may_repeat(inf) or not self._may_forward(inf, pod):
+            raise AssertionError("a forward that the rules forbid")
+        forward = Forward(inf, pod.invoker, mind.until - self.now)
+        forward.belief = _Sent(pod, self.now, pod not in mdl.warm)
+        inf.forwards.append(forward)
+        mind.tried.append(pod)
+        mind.out[forward] = pod.out[forward] = None
+        pod.cold += forward.belief.cold
+        mdl.busy[pod] = mdl.busy.get(pod, 0) + 1
+        if self._cold(pod):
+            pod.spent.append((self.now, self.usual[inf.group].mean))
+        self.actions.append(forward)
+
+    # Loads
 
-    def _send_order(self, mdl: _Mdl, pod: _Pod):
-        self.orders.append(self.now)
-        self.actions.append(Order(pod.invoker, mdl.model, 1))
+    def _order(self, mdl: _Mdl, pod: _Pod) -> _Load | None:
+        if pod not in mdl.loads and self._send_order(mdl, pod):
+            load = self._set_going(mdl, pod, True)
+            self._due(self.now + self._load_patience(mdl), load)
+        return mdl.loads.get(pod)
+
+    def _send_order(self, mdl: _Mdl, pod: _Pod) -> bool:
+        """The one gate through which every order passes."""
+        allowed = self._may_order(pod)
+        if allowed:
+            self.orders.append(self.now)
+            self.actions.append(Order(pod.invoker, mdl.model, 1))
+        return allowed
 
     def _set_going(self, mdl: _Mdl, pod: _Pod, ordered: bool) -> _Load:
-        load = mdl.loads[pod] = _Load(pod, self.now, ordered)
+        load = mdl.loads[pod] = _Load(mdl, pod, ordered)
         self.loads[load] = None
         return load
 
-    def _may_load(self, further: bool) -> bool:
-        """A further copy of a model that stands warm elsewhere gives way to first copies."""
-        return len(self.loads) < (max(1.0, self.load_window / 4) if further else self.load_window)
-
-    def _over(self, mdl: _Mdl, load: _Load):
-        if mdl.loads.get(load.pod) is load:
-            del mdl.loads[load.pod]
-            del self.loads[load]
+    def _over(self, load: _Load) -> list[Inference]:
+        self.loads.pop(load, None)
+        load.mdl.loads.pop(load.pod, None)
+        left = list(load.waiting)
+        for inf in left:
+            self._unhold(inf, inf.belief)
+        return left
 
-    def _ease_loads(self, mdl: _Mdl, elapsed: float | None):
-        """Loads this slow beside what they should take wait for each other, at the store or for room: more at
-        once only lengthens them all, and a store pushed too far stops. None: the load came to nothing."""
-        usual = mdl.load_time or 2 * self.load_floor or elapsed
-        if elapsed is not None:
-            gap = elapsed - (self.load_floor or elapsed)
-            self.load_floor = elapsed - gap + gap * (0.02 if gap > 0 else 0.2)
-            self.loading.add(elapsed)
-        if elapsed is not None and elapsed < SLOW_LOAD * usual:
-            self.load_window += 1.0 / self.load_window
-        elif self.now - self.eased > self.loading.mean:
-            self.eased = self.now
-            self.load_window = max(FEWEST_LOADS, 0.7 * min(self.load_window, len(self.loads) + 1.0))
+    def _abandon(self, load: _Load):
+        """The load came to nothing, or not in time: its inferences go on by the fallback."""
+        for inf in self._over(load):
+            inf.belief.tried.append(load.pod)
+            self._place(inf)
 
     def _hold(self, inf: Inference, load: _Load):
         inf.belief.load = load
         load.waiting[inf] = None
         load.pod.held += 1
 
+    def _unhold(self, inf: Inference, mind: _Inf):
+        if mind.load:
+            mind.load.pod.held -= 1
+            del mind.load.waiting[inf]
+            mind.load = None
+
     def _missed(self, inf: Inference, mdl: _Mdl, pod: _Pod):
-        load = self._order(mdl, pod) if self.dep.may_order else None
+        load = self._order(mdl, pod) if pod.serving else None
+        warm = [other for other in self._healthy(self.pods) if other in mdl.warm]
+        warm = [other for other in warm if self._may_repeat(inf) and self._may_forward(inf, other)]
         if load:
             self._hold(inf, load)
-            return
-        warm = [other for other in self._healthy() if other in mdl.warm and self._may_forward(inf, other)]
-        if warm:
+        elif warm:
             self._forward(inf, self._least(warm))
         else:
             self._finish(inf)
 
-    def _load_time(self, mdl: _Mdl) -> float:
-        return mdl.load_time if mdl.load_time and not self.loading.seen else self.loading.mean
+    def _ease_loads(self, mdl: _Mdl, elapsed: float | None):
+        """Loads slow beside what they should take wait for each other, at the store or for room: more at once
+        lengthens them all, and a store pushed too far stops. None: the load came to nothing."""
+        usual = mdl.load_time or 2 * self.load_floor or elapsed
+        if elapsed is not None:
+            gap = elapsed - (self.load_floor or elapsed)
+            self.load_floor = elapsed - gap + gap * (0.02 if gap > 0 else 0.2)
+            self.loading.add(elapsed)
+        if elapsed is not None and elapsed < SLOW_LOAD * usual:
+            self.load_window += 1.0 / self.load_window
+        elif self.now - self.eased > self.loading.mean:
+            self.eased = self.now
+            self.load_window = max(1.0, 0.7 * min(self.load_window, len(self.loads) + 1.0))
 
     def _load_patience(self, mdl: _Mdl) -> float:
-        return max(self.loading.patience, 2 * (mdl.load_time or 0.0))
-
-    def _abandon(self, mdl: _Mdl, load: _Load):
-        """The load came to nothing, or not in time: its inferences go on by the fallback."""
-        self._over(mdl, load)
-        for inf in list(load.waiting):
-            self._unhold(inf, inf.belief)
-            inf.belief.tried.append(load.pod)
-            self._place(inf)
+        return max(self.loading.patience(), 2 * (mdl.load_time or 0.0))
 
-    def _forward(self, inf: Inference, pod: _Pod):
-        """The one gate through which every forward passes."""
-        mind, mdl = inf.belief, inf.model.belief
-        if not self._may_forward(inf, pod):
-            raise AssertionError("a forward that the rules forbid")
-        forward = Forward(inf, pod.invoker, mind.until - self.now)
-        forward.belief = _Sent(pod, self.now, pod not in mdl.warm)
-        pod.cold += forward.belief.cold
-        inf.forwards.append(forward)
-        mind.tried.append(pod)
-        mind.out[forward] = None
-        pod.out[forward] = None
-        mdl.busy[pod] = mdl.busy.get(pod, 0) + 1
-        if self._cold(pod):
-            pod.spent.append((self.now, self.usual[inf.group].mean))
-        self.actions.append(forward)
+    def _renew(self, mdl: _Mdl):
+        """Against the load that a call at about the keep-alive's pace meets each time: the last entry of a
+        model asked for more than once is held by an order for some idle times more."""
+        for pod in [pod for pod, (until, _) in mdl.warm.items() if until <= self.now]:
+            del mdl.warm[pod]
+        idle = self.now - mdl.asked_at > RENEWALS * self.dep.keep_alive
+        if mdl.warm and mdl.asked > 1 and not idle and self.now - mdl.renewed > self.dep.keep_alive / 2:
+            pod, (until, _) = max(mdl.warm.items(), key=lambda item: item[1])
+            if until - self.now <= 3 * PULSE_EVERY and not pod.suspect and self._send_order(mdl, pod):
+                mdl.renewed = self.now
+        elif idle and not mdl.warm and not mdl.busy and not mdl.loads:
+            mdl.model.belief = None
+            del self.known[mdl]
 
     # Rules
 
+    def _may_repeat(self, inf: Inference) -> bool:
+        """Whether any invoker could still be sent the inference, as far as its own past goes."""
+        mind, group = inf.belief, inf.group
+        if (len(inf.forwards) >= self.dep.most_forwards or self.now >= mind.until
+                or mind.out and not self.dep.may_duplicate):
+            return False
+        if group.effect is Effect.NON_RETRIABLE:
+            return not mind.ran and not mind.out
+        return group.effect is Effect.RETRIABLE or all(self.now - at < group.dedup_window
+                                                       for _, at in self._perhaps_ran(mind))
+
     def _may_forward(self, inf: Inference, pod: _Pod) -> bool:
         mind, group = inf.belief, inf.group
-        if not pod.serving or pod.full_until > self.now or self.now >= mind.until:
+        if not pod.serving or pod.full_until > self.now:
             return False
-        if mind.out and not self.dep.may_duplicate:
+        if group.effect is Effect.DEDUPED and group.scope is not Scope.ALL and any(
+                other.zone != pod.zone or group.scope is Scope.CELL and other.cell != pod.cell
+                for other, _ in self._perhaps_ran(mind)):
             return False
-        if mind.out or mind.ran:
-            if group.effect is Effect.NON_RETRIABLE:
-                return False
-            if group.effect is Effect.DEDUPED:
-                ran = mind.ran + [(f.belief.pod, f.belief.at) for f in mind.out]
-                if any(self.now - at >= group.dedup_window
-                       or not self._drops_together(group.scope, pod, other) for other, at in ran):
-                    return False
-        return self._cold_room(pod, self.usual[group].mean)
-
-    def _drops_together(self, scope: Scope, a: _Pod, b: _Pod) -> bool:
-        return scope is Scope.ALL or (a.zone == b.zone if scope is Scope.ZONE else
-                                      a.zone == b.zone and a.cell == b.cell)
+        return not self._cold(pod) or self._cold_room(pod, self.usual[group].mean)
+
+    def _perhaps_ran(self, mind: _Inf) -> list[tuple[_Pod, float]]:
+        return mind.ran + [(forward.belief.pod, forward.belief.at) for forward in mind.out]
 
     def _may_shed(self, inf: Inference) -> bool:
-        group, mind = inf.group, inf.belief
-        if group.effect is Effect.RETRIABLE or not (mind.out or mind.ran):
-            return True
-        return group.effect is Effect.DEDUPED and group.scope is Scope.ALL
+        group = inf.group
+        return (group.effect is Effect.RETRIABLE or not self._perhaps_ran(inf.belief)
+                or group.effect is Effect.DEDUPED and group.scope is Scope.ALL)
 
     def _may_order(self, pod: _Pod) -> bool:
         dep = self.dep
-        if not dep.may_order or not pod.serving:
-            return False
-        if dep.order_window <= 0:
-            return True
+        # At the window's very edge orders still count, arrivals no more.
         while self.orders and self.orders[0] < self.now - dep.order_window:
             self.orders.popleft()
         while self.arrivals and self.arrivals[0] <= self.now - dep.order_window:
             self.arrivals.popleft()
-        return len(self.orders) + 1 <= dep.order_floor + dep.order_share * len(self.arrivals)
+        ration = dep.order_floor + dep.order_share * len(self.arrivals)
+        return dep.may_order and pod.serving and (dep.order_window <= 0 or len(self.orders) + 1 <= ration)
 
     def _cold(self, pod: _Pod) -> bool:
         return pod.started > 0 and self.now < pod.started + self.dep.warm_after
@@ -503,101 +464,82 @@
     def _cold_room(self, pod: _Pod, weight: float) -> bool:
         """Own part of what a cold invoker may be sent: what one of its kind returns to this controller when
         warm is this controller's part of its capacity, whatever the others do."""
-        if not self._cold(pod):
-            return True
         dep = self.dep
         while pod.spent and pod.spent[0][0] <= self.now - dep.fall_window:
             pod.spent.popleft()
-        if not pod.spent:
-            return True
         age = max(0.0, self.now - dep.fall_window - pod.started) / dep.warm_after
         share = dep.cold_share + (1 - dep.cold_share) * age
-        rates = [other.rate for other in self.pods if not self._cold(other) and other.kind == pod.kind]
-        rates = rates or [other.rate / 2 for other in self.pods if not self._cold(other)]
+        warm = [other for other in self.pods if not self._cold(other)]
+        rates = [other.rate for other in warm if other.kind == pod.kind] or [other.rate / 2 for other in warm]
         budget = COLD_CAUTION * dep.fall_multiple * share * max(rates, default=0.0) * dep.fall_window
-        return sum(spent for _, spent in pod.spent) + weight <= budget
+        return not pod.spent or sum(spent for _, spent in pod.spent) + weight <= budget
 
     # Outcomes
 
     def _ended(self, event: Ended):
         forward, outcome = event.forward, event.outcome
         inf, sent = forward.inference, forward.belief
-        pod, mdl = sent.pod, inf.model.belief
-        pod.out.pop(forward, None)
+        pod, mdl, mind = sent.pod, inf.model.belief, inf.belief
+        del pod.out[forward]
         pod.cold -= sent.cold
         mdl.busy[pod] -= 1
         if not mdl.busy[pod]:
             del mdl.busy[pod]
-        load = mdl.loads.get(pod)
-        if load and not load.ordered and pod not in mdl.busy:
-            self._over(mdl, load)
-        self.freed = True
-        if outcome in ALIVE:
+            if pod in mdl.loads and not mdl.loads[pod].ordered:
+                self._over(mdl.loads[pod])
+        if outcome in (Outcome.RETURNED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
             pod.heard = self.now
         if outcome is Outcome.RETURNED:
             self._learn(inf, mdl, sent, event)
         elif outcome is Outcome.FULL:
-            # Turned away with the model warm: too much work. Without: no memory or no place among its loads.
+            # Without the model there: no memory, or no place among its loads. With it: too much work.
+            pod.full_until = self.now + self.usual[inf.group].mean
             if sent.cold:
-                pod.crammed_until = self.now + self.loading.mean
                 self._ease_loads(mdl, None)
             else:
-                pod.full_until = self.now + self.usual[inf.group].mean
                 self._narrow(pod, 0.7, inf.group)
         elif outcome in (Outcome.UNCONNECTED, Outcome.RESET):
             self._doubt(pod)
             self._strike(pod)
         elif outcome in (Outcome.ERROR, Outcome.MISS) or outcome is Outcome.TIMED_OUT and not sent.cold:
             mdl.warm.pop(pod, None)
-        elif sent.cold and self.dep.may_order and not pod.suspect:
+        elif sent.cold and pod.serving and not pod.suspect:
             # The load goes on without the inference that began it; another begun elsewhere would double it.
             self._order(mdl, pod)
-        mind = inf.belief
         if mind is None:
             return
-        mind.out.pop(forward, None)
-        if event.final:
-            self._close(inf)
-            return
+        del mind.out[forward]
         if outcome not in NEVER_RAN:
             mind.ran.append((pod, sent.at))
-        if self.now >= mind.until:
+        if event.final:
+            self._close(inf)
+        elif self.now >= mind.until:
             self._finish(inf)
-        elif outcome is Outcome.MISS and not event.load_failed and pod.serving and not mind.load:
+        elif outcome is Outcome.MISS and not event.load_failed and not mind.load:
             self._missed(inf, mdl, pod)
-        elif not mind.load and not mind.parked:
-            self._again(inf)
-
-    def _again(self, inf: Inference):
-        """Onward where the rules let it; if they never will, the answer is given now."""
-        mind, group = inf.belief, inf.group
-        if mind.ran and not mind.out and (group.effect is Effect.NON_RETRIABLE or (
-                group.effect is Effect.DEDUPED and self.now - mind.ran[0][1] >= group.dedup_window)):
-            self._finish(inf)
-        else:
+        elif not mind.load and inf not in self.parked:
             self._place(inf)
 
     def _learn(self, inf: Inference, mdl: _Mdl, sent: _Sent, event: Ended):
-        pod = sent.pod
+        pod, usual = sent.pod, self.usual[inf.group]
         pod.new = False
-        pod.carried += self.usual[inf.group].mean
-        cold = event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD)
+        pod.carried += usual.mean
+        loaded = event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD)
         if pod.serving:
-            entry = mdl.warm.get(pod)
-            copies = 1 if cold or entry is None else entry.copies
-            mdl.warm[pod] = _Entry(self.now + self.dep.keep_alive, copies)
-        if cold:
+            # A load here strikes what was believed; the finished run itself is the new entry.
+            copies = mdl.warm[pod][1] if pod in mdl.warm and not loaded else 1
+            mdl.warm[pod] = self.now + self.dep.keep_alive, copies
+        if loaded:
             if event.found is Found.BEGAN_LOAD:
                 self._ease_loads(mdl, event.elapsed)
             return
-        pod.strain += 0.2 * (event.elapsed / inf.group.slo_time - pod.strain)
         if sent.cold:
             self.load_window += 1.0 / self.load_window
+        pod.strain += 0.2 * (event.elapsed / inf.group.slo_time - pod.strain)
         if pod.strain > STRAINED:
             self._narrow(pod, 0.8, inf.group)
-        elif pod.strain < EASY and len(pod.out) - pod.cold + 2 > pod.window:
+        elif pod.strain < EASY and pod.work + 2 > pod.window:
             pod.window += 0.5
-        usual = self.usual[inf.group]
         ratio = event.elapsed / max(usual.mean, 1e-3)
         pod.pace += 0.2 * (min(ratio, 20.0) - pod.pace)
         usual.add(event.elapsed)
@@ -606,120 +548,79 @@
 
     def _settled(self, event: OrderSettled):
         pod, mdl = event.invoker.belief, event.model.belief
-        if event.outcome is not Outcome.TIMED_OUT and event.outcome is not Outcome.UNCONNECTED:
-            pod.heard = self.now
-        load = mdl.loads.get(pod)
-        if event.outcome is Outcome.RETURNED and pod.serving:
-            mdl.warm[pod] = _Entry(self.now + self.dep.keep_alive, max(1, event.standing))
-            if load and load.ordered and event.elapsed > AT_ONCE:
-                self._ease_loads(mdl, event.elapsed)
-        if load is None or not load.ordered:
+        if mdl is None or not pod.serving:
             return
+        load = mdl.loads.get(pod)
+        ordered = load is not None and load.ordered
         if event.outcome is not Outcome.RETURNED:
-            self._abandon(mdl, load)
+            if ordered:
+                self._abandon(load)
             return
-        self._over(mdl, load)
-        for inf in list(load.waiting):
-            self._unhold(inf, inf.belief)
-            if self._may_forward(inf, pod):
-                self._forward(inf, pod)
-            else:
-                self._place(inf)
+        # The invoker's own word that a copy stands is as good as a returned answer.
+        mdl.warm[pod] = self.now + self.dep.keep_alive, max(1, event.standing)
+        pod.heard = self.now
+        if ordered:
+            if event.elapsed > AT_ONCE:
+                self._ease_loads(mdl, event.elapsed)
+            for inf in self._over(load):
+                allowed = self._may_repeat(inf) and self._may_forward(inf, pod)
+                self._forward(inf, pod) if allowed else self._place(inf)
 
     # Health
 
-    def _healthy(self) -> list[_Pod]:
+    def _healthy(self, pods: list[_Pod]) -> list[_Pod]:
         """Suspects are left out, unless so many look ill that the cause must be a shared one."""
-        well = [pod for pod in self.pods if not pod.suspect]
-        return well if 2 * len(well) > len(self.pods) else self.pods
+        ill = sum(pod.suspect for pod in self.pods)
+        return pods if 2 * ill >= len(self.pods) else [pod for pod in pods if not pod.suspect]
 
     def _doubt(self, pod: _Pod):
         if not pod.suspect:
             pod.suspect, pod.trial_at = True, self.now + pod.trial_gap
 
-    def _pulse(self):
-        self.actions.append(SetTimer(PULSE_EVERY, PULSE))
-        paces = sorted(pod.pace for pod in self.pods)
-        median = paces[len(paces) // 2] if paces else 1.0
-        for pod in self.pods:
-            pod.rate += PULSE_EVERY / 5000.0 * (pod.carried / PULSE_EVERY - pod.rate)
-            pod.carried = 0.0
-            if pod.pace > SLOW_PACE * median:
-                self._doubt(pod)
-            if pod.out:
-                oldest = next(iter(pod.out))
-                if self.now - max(pod.heard, oldest.belief.at) > self._patience(oldest):
-                    # Takes work and answers nothing: hung, cut off, or dead and not yet listed so.
-                    self._doubt(pod)
-        if any(pod.suspect for pod in self.pods):
-            self._rescue()
-        for mdl in self._models():
-            self._renew(mdl)
-        self._unpark(len(self.parked))
-
-    def _unpark(self, most: int):
-        """Work that no invoker has room for waits here, where it can still go to any of them. Newest first:
-        in a lasting overload the oldest first would make all of it late."""
-        self.freed = False
-        for inf in list(itertools.islice(reversed(self.parked), most)):
-            if self._hopeless(inf):
-                self._finish(inf)
-            else:
-                del self.parked[inf]
-                inf.belief.parked = False
-                self._place(inf)
-
-    def _hopeless(self, inf: Inference) -> bool:
-        """Held too long to be in time: shed at once, before it costs anybody work."""
-        usual, slo = self.usual[inf.group], inf.group.slo_time
-        return self.now - inf.belief.arrived > min(HELD * slo, slo - usual.mean - usual.spread)
-
-    def _narrow(self, pod: _Pod, factor: float, group):
+    def _narrow(self, pod: _Pod, factor: float, group: ModelGroup):
         """One narrowing for one wave of bad news: the answers still out were sent under the old window."""
         if self.now - pod.narrowed > self.usual[group].mean:
             pod.narrowed = self.now
-            pod.window = max(1.0, factor * min(pod.window, len(pod.out) - pod.cold + 1.0))
-
-    def _renew(self, mdl: _Mdl):
-        """Against the load that a call at about the pace of the keep-alive meets each time: the last entry of a
-        model asked for more than once is held by an order for some idle times more."""
-        for pod in [pod for pod, entry in mdl.warm.items() if entry.until <= self.now]:
-            del mdl.warm[pod]
-        if not mdl.warm or mdl.asked < 2 or self.now - mdl.asked_at > RENEWALS * self.dep.keep_alive:
-            return
-        pod, entry = max(mdl.warm.items(), key=lambda item: item[1].until)
-        if (entry.until - self.now <= 3 * PULSE_EVERY and self.now - mdl.renewed > self.dep.keep_alive / 2
-                and not pod.suspect and self._may_order(pod)):
-            mdl.renewed = self.now
-            self._send_order(mdl, pod)
+            pod.window = max(1.0, factor * min(pod.window, pod.work + 1.0))
 
     def _patience(self, forward: Forward) -> float:
         inf = forward.inference
-        wait = max(self.usual[inf.group].patience, inf.group.slo_time / 2)
+        wait = max(self.usual[inf.group].patience(), inf.group.slo_time / 2)
         return wait + (2 * self._load_patience(inf.model.belief) if forward.belief.cold else 0.0)
 
-    def _rescue(self):
-        healthy = self._healthy()
+    def _pulse(self):
+        self.actions.append(SetTimer(PULSE_EVERY, PULSE))
+        paces = sorted(pod.pace for pod in self.pods)
         for pod in self.pods:
-            if not pod.suspect or pod in healthy:
+            pod.rate += PULSE_EVERY / CARRIED_OVER * (pod.carried / PULSE_EVERY - pod.rate)
+            pod.carried = 0.0
+            overdue = [forward for forward in pod.out
+                       if self.now - max(pod.heard, forward.belief.at) > self._patience(forward)]
+            if overdue or pod.pace > SLOW_PACE * paces[len(paces) // 2]:
+                # Takes work and answers nothing (hung, cut off, dead but not listed so), or far too slowly.
+                self._doubt(pod)
+        for pod in [pod for pod in self.pods if pod.suspect and pod not in self._healthy([pod])]:
+            self._rescue(pod)
+        for mdl in list(self.known):
+            self._renew(mdl)
+        self._unpark(len(self.parked))
+
+    def _rescue(self, pod: _Pod):
+        for forward in list(pod.out):
+            inf, sent = forward.inference, forward.belief
+            waited = self.now - max(sent.at, pod.heard)
+            if inf.belief is None or sent.rescued or waited <= self._patience(forward):
                 continue
-            for forward in list(pod.out):
-                inf, sent = forward.inference, forward.belief
-                if (inf.belief is None or sent.rescued or inf.group.effect is Effect.NON_RETRIABLE
-                        or self.now - max(sent.at, pod.heard) < self._patience(forward)
-                        or len(inf.forwards) >= self.dep.most_forwards):
-                    continue
-                sent.rescued = True
-                if self.dep.may_duplicate:
-                    self._place(inf)
-                elif self.dep.may_call_off:
-                    self.actions.append(CallOff(forward))
+            sent.rescued = True
+            if self._may_repeat(inf):
+                self._place(inf)
+            elif self.dep.may_call_off and inf.group.effect is not Effect.NON_RETRIABLE:
+                self.actions.append(CallOff(forward))
 
     # Time and chance
 
-    def _due(self, at: float, what: object):
-        self.counter += 1
-        heapq.heappush(self.dues, (at, self.counter, what))
+    def _due(self, at: float, what: Inference | _Load | None):
+        heapq.heappush(self.dues, (at, next(self.counter), what))
 
     def _timer(self, event: TimerDue):
         if event.token == PULSE:
@@ -727,17 +628,14 @@
             return
         self.armed = float("inf")
         while self.dues and self.dues[0][0] <= self.now:
-            _, _, what = heapq.heappop(self.dues)
+            what = heapq.heappop(self.dues)[2]
             if what is None:
                 self.actions.append(Subscribe(True))
-            elif isinstance(what, Inference):
-                if what.belief:
-                    self._finish(what)
-            else:
-                mdl, load = what
-                if mdl.loads.get(load.pod) is load:
-                    self._doubt(load.pod)
-                    self._abandon(mdl, load)
+            elif isinstance(what, Inference) and what.belief:
+                self._finish(what)
+            elif what in self.loads:
+                self._doubt(what.pod)
+                self._abandon(what)
 
     def _chance(self) -> int:
         self.draws += 1
