Order again what went with a withdrawn invoker, on the emptiest

Cause: in a release the new invokers stayed empty while the old ones were at their window. Covers deaths and resets too; may hurt where many leave for good and room is short.

--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -97,11 +97,11 @@
 
 class _Mdl:
     """What is believed of one model: its queue of warm invokers, own lanes taken, loads under way."""
-    __slots__ = ("model", "lanes", "load_time", "warm", "busy", "loads", "asked", "asked_at", "renewed")
+    __slots__ = ("model", "lanes", "load_time", "warm", "busy", "loads", "asked", "asked_at", "lost")
 
     def __init__(self, model):
         self.model, self.lanes, self.load_time = model, 1, None
-        self.asked, self.asked_at, self.renewed = 0, 0.0, float("-inf")
+        self.asked, self.asked_at, self.lost = 0, 0.0, 0
         self.warm: dict[_Pod, tuple[float, int]] = {}
         self.busy: dict[_Pod, int] = {}
         self.loads: dict[_Pod, _Load] = {}
@@ -128,7 +128,7 @@
 
 class Controller:
     def __init__(self, deployment: Deployment, seed: int):
-        self.dep, self.seed, self.draws = deployment, seed, 0
+        self.dep, self.seed = deployment, seed
         self.now, self.armed, self.counter = 0.0, float("inf"), itertools.count()
         self.actions = [SetTimer(PULSE_EVERY, PULSE)] + [Subscribe(True)] * deployment.roster_asked
         self.pods, self.dues = [], []
@@ -190,7 +190,7 @@
 
     def _strike(self, pod: _Pod):
         for mdl in list(self.known):
-            mdl.warm.pop(pod, None)
+            mdl.lost += pod in mdl.warm and mdl.warm.pop(pod)[0] > self.now
             if pod in mdl.loads:
                 self._abandon(mdl.loads[pod])
 
@@ -240,9 +240,7 @@
     def _place(self, inf: Inference):
         mind, mdl = inf.belief, inf.model.belief
         if not self._may_repeat(inf):
-            if not mind.out:
-                self._finish(inf)
-            return
+            return None if mind.out else self._finish(inf)
         allowed = [pod for pod in self.pods if self._may_forward(inf, pod)]
         trial = next((pod for pod in allowed if pod.suspect and self.now >= pod.trial_at), None)
         if trial and not inf.forwards and inf.group.effect is not Effect.NON_RETRIABLE:
@@ -409,13 +407,19 @@
         for pod in [pod for pod, (until, _) in mdl.warm.items() if until <= self.now]:
             del mdl.warm[pod]
         idle = self.now - mdl.asked_at > RENEWALS * self.dep.keep_alive
-        if mdl.warm and mdl.asked > 1 and not idle and self.now - mdl.renewed > self.dep.keep_alive / 2:
+        if mdl.warm and mdl.asked > 1 and not idle:
             pod, (until, _) = max(mdl.warm.items(), key=lambda item: item[1])
-            if until - self.now <= 3 * PULSE_EVERY and not pod.suspect and self._send_order(mdl, pod):
-                mdl.renewed = self.now
+            if until - self.now <= 3 * PULSE_EVERY and not pod.suspect:
+                self._send_order(mdl, pod)
         elif idle and not mdl.warm and not mdl.busy and not mdl.loads:
             mdl.model.belief = None
             del self.known[mdl]
+        # Against a fleet that leaves one by one (deploys, deaths): what went is loaded again on the emptiest.
+        if mdl.lost and len(self.loads) < self.load_window and not mdl.loads:
+            mdl.lost -= 1
+            bare = [pod for pod in self._healthy(self.pods) if pod not in mdl.warm]
+            if bare and not idle and mdl.asked > 1:
+                self._order(mdl, self._least(bare))
 
     # Rules
 
@@ -450,7 +454,6 @@
 
     def _may_order(self, pod: _Pod) -> bool:
         dep = self.dep
-        # At the window's very edge orders still count, arrivals no more.
         while self.orders and self.orders[0] < self.now - dep.order_window:
             self.orders.popleft()
         while self.arrivals and self.arrivals[0] <= self.now - dep.order_window:
@@ -467,8 +470,8 @@
         dep = self.dep
         while pod.spent and pod.spent[0][0] <= self.now - dep.fall_window:
             pod.spent.popleft()
-        age = max(0.0, self.now - dep.fall_window - pod.started) / dep.warm_after
-        share = dep.cold_share + (1 - dep.cold_share) * age
+        age = max(0.0, self.now - dep.fall_window - pod.started)
+        share = dep.cold_share + (1 - dep.cold_share) * age / dep.warm_after
         warm = [other for other in self.pods if not self._cold(other)]
         rates = [other.rate for other in warm if other.kind == pod.kind] or [other.rate / 2 for other in warm]
         budget = COLD_CAUTION * dep.fall_multiple * share * max(rates, default=0.0) * dep.fall_window
@@ -553,9 +556,7 @@
         load = mdl.loads.get(pod)
         ordered = load is not None and load.ordered
         if event.outcome is not Outcome.RETURNED:
-            if ordered:
-                self._abandon(load)
-            return
+            return self._abandon(load) if ordered else None
         # The invoker's own word that a copy stands is as good as a returned answer.
         mdl.warm[pod] = self.now + self.dep.keep_alive, max(1, event.standing)
         pod.heard = self.now
@@ -599,23 +600,23 @@
             if overdue or pod.pace > SLOW_PACE * paces[len(paces) // 2]:
                 # Takes work and answers nothing (hung, cut off, dead but not listed so), or far too slowly.
                 self._doubt(pod)
-        for pod in [pod for pod in self.pods if pod.suspect and pod not in self._healthy([pod])]:
-            self._rescue(pod)
+        suspects = [pod for pod in self.pods if pod.suspect and not self._healthy([pod])]
+        for forward in [forward for pod in suspects for forward in pod.out]:
+            self._rescue(forward)
         for mdl in list(self.known):
             self._renew(mdl)
         self._unpark(len(self.parked))
 
-    def _rescue(self, pod: _Pod):
-        for forward in list(pod.out):
-            inf, sent = forward.inference, forward.belief
-            waited = self.now - max(sent.at, pod.heard)
-            if inf.belief is None or sent.rescued or waited <= self._patience(forward):
-                continue
-            sent.rescued = True
-            if self._may_repeat(inf):
-                self._place(inf)
-            elif self.dep.may_call_off and inf.group.effect is not Effect.NON_RETRIABLE:
-                self.actions.append(CallOff(forward))
+    def _rescue(self, forward: Forward):
+        inf, sent = forward.inference, forward.belief
+        waited = self.now - max(sent.at, sent.pod.heard)
+        if not inf.belief or sent.rescued or waited <= self._patience(forward):
+            return
+        sent.rescued = True
+        if self._may_repeat(inf):
+            self._place(inf)
+        elif self.dep.may_call_off and inf.group.effect is not Effect.NON_RETRIABLE:
+            self.actions.append(CallOff(forward))
 
     # Time and chance
 
@@ -624,8 +625,7 @@
 
     def _timer(self, event: TimerDue):
         if event.token == PULSE:
-            self._pulse()
-            return
+            return self._pulse()
         self.armed = float("inf")
         while self.dues and self.dues[0][0] <= self.now:
             what = heapq.heappop(self.dues)[2]
@@ -638,5 +638,4 @@
                 self._abandon(what)
 
     def _chance(self) -> int:
-        self.draws += 1
-        return zlib.crc32(b"%d:%d" % (self.seed, self.draws))
+        return zlib.crc32(b"%d:%d" % (self.seed, next(self.counter)))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -35,3 +35,27 @@
     for n in range(8):
         world.arrive(f"cold{n}")
     assert forwards(world.arrive("warm")[1])
+
+
+def test_what_went_with_an_invoker_is_loaded_again_before_it_is_asked_for():
+    world = World(deployment())
+    world.roster("w0", "w1")
+    first = forwards(world.arrive("m")[1])[0]
+    world.end(first)
+    world.end(forwards(world.arrive("m")[1])[0])
+    world.roster(first.invoker.name, status=it.Status.DRAINING)
+    ordered = [act for act in world.wait(200.0) if isinstance(act, it.Order)]
+    assert [act.invoker is not first.invoker for act in ordered] == [True]
+
+
+def test_the_last_copy_of_a_wanted_model_is_held_and_then_let_go():
+    world = World(deployment())
+    world.roster("w0")
+    for _ in range(2):
+        world.end(forwards(world.arrive("m")[1])[0])
+    held = 0
+    for _ in range(1200):
+        for order in [act for act in world.wait(50.0) if isinstance(act, it.Order)]:
+            held += 1
+            world.settle(order)
+    assert 1 <= held <= 5
