--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -24,8 +24,8 @@
 SLOW_PACE = 2.5
 # Trials of a suspect thin out, so that a long silence costs few inferences.
 FIRST_TRIAL, LAST_TRIAL = 1000.0, 8000.0
-# Own inferences in flight to an invoker, and own loads at once, before anything is known.
-FIRST_WINDOW, FIRST_LOADS = 4.0, 4.0
+# Own inferences in flight to an invoker before anything is known of it.
+FIRST_WINDOW = 4.0
 # Parts of the SLO time: answers slower than the first on the average narrow an invoker's window, faster than
 # the second widen it; an inference held here longer than the third is shed.
 STRAINED, EASY, HELD = 0.6, 0.4, 0.3
@@ -33,6 +33,8 @@
 FEW = 4
 # A load this many times longer than it should take waits for others; one stood already if it took this long.
 SLOW_LOAD, AT_ONCE = 1.5, 20.0
+# Loads at once for each invoker, all controllers together, that quick loads may open the window to.
+MOST_LOADS = 2.0
 # Idle times for which the last warm copy of a model is held beyond its use.
 RENEWALS = 3.0
 # The part of the cold budget that is used (arrivals bunch); the time over which carried work is averaged.
@@ -139,7 +141,7 @@
         self.buckets: dict[Tenant, tuple[float, float]] = {}
         self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
         self.loading = _Usual(max(group.slo_time for group in deployment.groups))
-        self.load_window, self.load_floor, self.eased = FIRST_LOADS, 0.0, 0.0
+        self.load_share, self.load_floor = 1.0, 0.0
         self.handlers = {
             Arrived: self._arrived, Ended: self._ended, OrderSettled: self._settled, TimerDue: self._timer,
             RosterNews: self._roster, Departed: lambda event: self._close(event.inference),
@@ -266,7 +268,7 @@
         bare = [pod for pod in pods if pod not in warm]
         queue = {pod: mdl.busy.get(pod, 0) / mdl.warm[pod][1] for pod in warm}
         # A further copy of a model that stands warm elsewhere gives way to first copies of others.
-        further = bare and len(self.loads) < max(1.0, self.load_window / 4)
+        further = bare and len(self.loads) < max(1.0, self._load_window() / 4)
         if warm:
             best = min(warm, key=lambda pod: (queue[pod], pod.load, self._chance()))
             if queue[best] < most or not further:
@@ -277,7 +279,7 @@
         if joinable:
             load = min(joinable, key=lambda load: (load.queue, self._chance()))
             self._hold(inf, load) if load.ordered else self._forward(inf, load.pod)
-        elif bare and len(self.loads) < self.load_window:
+        elif bare and len(self.loads) < self._load_window():
             pod = self._least(bare, fallback=True)
             if self.dep.loads_on_miss and pod not in mdl.loads:
                 self._set_going(mdl, pod, False)
@@ -392,11 +394,13 @@
             gap = elapsed - (self.load_floor or elapsed)
             self.load_floor = elapsed - gap + gap * (0.02 if gap > 0 else 0.2)
             self.loading.add(elapsed)
-        if elapsed is not None and elapsed < SLOW_LOAD * usual:
-            self.load_window += 1.0 / self.load_window
-        elif self.now - self.eased > self.loading.mean:
-            self.eased = self.now
-            self.load_window = max(1.0, 0.7 * min(self.load_window, len(self.loads) + 1.0))
+        good = elapsed is not None and elapsed < SLOW_LOAD * usual
+        step = 0.25 if good else -0.3 * self.load_share
+        self.load_share = min(MOST_LOADS, self.load_share + step / self._load_window())
+
+    def _load_window(self) -> float:
+        """Own loads at once: at first own part of one for each invoker."""
+        return max(1.0, self.load_share * len(self.pods) / self.dep.controllers)
 
     def _load_patience(self, mdl: _Mdl) -> float:
         return max(self.loading.patience(), 2 * (mdl.load_time or 0.0))
@@ -415,7 +419,7 @@
             mdl.model.belief = None
             del self.known[mdl]
         # Against a fleet that leaves one by one (deploys, deaths): what went is loaded again on the emptiest.
-        if mdl.lost and len(self.loads) < self.load_window and not mdl.loads:
+        if mdl.lost and len(self.loads) < self._load_window() and not mdl.loads:
             mdl.lost -= 1
             bare = [pod for pod in self._healthy(self.pods) if pod not in mdl.warm]
             if bare and not idle and mdl.asked > 1:
@@ -536,8 +540,6 @@
             if event.found is Found.BEGAN_LOAD:
                 self._ease_loads(mdl, event.elapsed)
             return
-        if sent.cold:
-            self.load_window += 1.0 / self.load_window
         pod.strain += 0.2 * (event.elapsed / inf.group.slo_time - pod.strain)
         if pod.strain > STRAINED:
             self._narrow(pod, 0.8, inf.group)
