--- a/sprucespool/adapter/door.py
+++ b/sprucespool/adapter/door.py
@@ -77,7 +77,7 @@
         report_meanings={name: settings.pairs.get("specifics.report" + name.upper(), "")
                          for name in ("x0", "x1")},
         memory_mb={kind: float(size) for kind, size in zip(kinds, memory, strict=False)},
-        prices=settings.under("prices"), goal=settings.under("objectiveMix"))
+        crossing_price=settings.number("prices.crossZone", 0.0))
 
 
 class Door:
--- a/sprucespool/adapter/wire.py
+++ b/sprucespool/adapter/wire.py
@@ -132,11 +132,6 @@
     def count(self, path: str) -> int:
         return self.whole(f"{path}.count") if f"{path}.count" in self.pairs else 0
 
-    def under(self, path: str) -> dict[str, float]:
-        prefix = path + "."
-        return {key[len(prefix):]: _number(key, value) for key, value in self.pairs.items()
-                if key.startswith(prefix)}
-
 
 def _number(name: str, value: str) -> float:
     try:
--- a/sprucespool/interface.py
+++ b/sprucespool/interface.py
@@ -116,8 +116,7 @@
     report_fields: list[str]
     report_meanings: dict[str, str]
     memory_mb: dict[str, float]
-    prices: dict[str, float]
-    goal: dict[str, float]
+    crossing_price: float
 
 
 @dataclass(slots=True, eq=False)
--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -32,9 +32,8 @@
 # Inferences held here that are looked at with each batch; all of them are at each pulse.
 FEW = 4
 # A load this many times longer than it should take waits for others; one stood already if it took this long.
-SLOW_LOAD, AT_ONCE = 1.5, 20.0
-# Loads at once for each invoker, all controllers together, that quick loads may open the window to.
-MOST_LOADS = 2.0
+# The most loads at once for each invoker, all controllers together, that quick ones may open the window to.
+SLOW_LOAD, AT_ONCE, MOST_LOADS = 1.5, 20.0, 2.0
 # Idle times for which the last warm copy of a model is held beyond its use.
 RENEWALS = 3.0
 # The part of the cold budget that is used (arrivals bunch); the time over which carried work is averaged.
@@ -289,8 +288,9 @@
 
     def _least(self, pods: list[_Pod], fallback: bool = False) -> _Pod:
         mean = sum(pod.load for pod in self.pods) / max(1, len(self.pods))
+        far = self.dep.crossing_price > 0
         return min(pods, key=lambda pod: (mean if fallback and (pod.new or self._cold(pod)) else pod.load,
-                                          self._chance()))
+                                          far and pod.zone != self.dep.own_zone, self._chance()))
 
     def _park(self, inf: Inference):
         if not inf.belief.out:
