--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -27,8 +27,9 @@
 # Own inferences in flight to an invoker before anything is known of it.
 FIRST_WINDOW = 4.0
 # Parts of the SLO time: answers slower than the first on the average narrow an invoker's window, faster than
-# the second widen it; an inference held here longer than the third is shed.
-STRAINED, EASY, HELD = 0.6, 0.4, 0.3
+# the second widen it; an inference held here longer than the third is shed. Then the part of a window that is
+# open to work beyond a tenant's share, which is worth little.
+STRAINED, EASY, HELD, BEYOND = 0.6, 0.4, 0.3, 0.5
 # Inferences held here that are looked at with each batch; all of them are at each pulse.
 FEW = 4
 # A load this many times longer than it should take waits for others; one stood already if it took this long.
@@ -110,10 +111,10 @@
 
 class _Inf:
     """An inference still owed an answer."""
-    __slots__ = ("arrived", "until", "over_share", "ran", "out", "tried", "load")
+    __slots__ = ("arrived", "until", "cheap", "ran", "out", "tried", "load")
 
-    def __init__(self, arrived: float, until: float, over_share: bool):
-        self.arrived, self.until, self.over_share = arrived, until, over_share
+    def __init__(self, arrived: float, until: float, cheap: bool):
+        self.arrived, self.until, self.cheap = arrived, until, cheap
         self.ran: list[tuple[_Pod, float]] = []
         self.out: dict[Forward, None] = {}
         self.tried: list[_Pod] = []
@@ -207,17 +208,17 @@
         mdl.lanes, mdl.load_time = inf.lanes or mdl.lanes, inf.load_time or mdl.load_time
         self.arrivals.append(self.now)
         until = self.now + max(0.0, inf.ttl - 2 * self.dep.tick)
-        inf.belief = _Inf(self.now, until, inf.tenant is not None and self._beyond_share(inf.tenant))
+        inf.belief = _Inf(self.now, until, inf.tenant is not None and self._beyond_share(inf))
         self._due(until, inf)
         self._place(inf)
 
-    def _beyond_share(self, tenant: Tenant) -> bool:
-        """Own part of the tenant's share, as a bucket of one second: what it sends beyond is worth little, so
-        it is the first to go where there is no room for all."""
-        part = tenant.quota_per_s / self.dep.controllers
-        level, at = self.buckets.get(tenant, (part, self.now))
-        level = min(part, level + part * (self.now - at) / 1000.0) - 1.0
-        self.buckets[tenant] = max(level, -1.0), self.now
+    def _beyond_share(self, inf: Inference) -> bool:
+        """Own part of the tenant's share, as a bucket of one second. A repeat takes nothing from it: what was
+        shed would else come back as work beyond the share, and be shed again."""
+        part = inf.tenant.quota_per_s / self.dep.controllers
+        level, at = self.buckets.get(inf.tenant, (part, self.now))
+        level = max(-1.0, min(part, level + part * (self.now - at) / 1000.0) - (not inf.repeat))
+        self.buckets[inf.tenant] = level, self.now
         return level < 0.0
 
     def _close(self, inf: Inference, keep: Forward | None = None):
@@ -245,10 +246,10 @@
         allowed = [pod for pod in self.pods if self._may_forward(inf, pod)]
         trial = next((pod for pod in allowed if pod.suspect and self.now >= pod.trial_at), None)
         if trial and not inf.forwards and inf.group.effect is not Effect.NON_RETRIABLE:
-            trial.trial_gap = min(2 * trial.trial_gap, LAST_TRIAL)
-            trial.trial_at = self.now + trial.trial_gap
+            trial.trial_gap, trial.trial_at = min(2 * trial.trial_gap, LAST_TRIAL), self.now + trial.trial_gap
             return self._forward(inf, trial)
-        pods = [pod for pod in self._healthy(allowed) if pod.work < pod.window]
+        part = BEYOND if mind.cheap else 1.0
+        pods = [pod for pod in self._healthy(allowed) if pod.work < pod.window * part]
         pods = [pod for pod in pods if pod not in mind.tried] or pods
         warm = [pod for pod in pods if pod in mdl.warm and mdl.warm[pod][0] > self.now]
         free = [pod for pod in warm if mdl.busy.get(pod, 0) < mdl.lanes * mdl.warm[pod][1]]
@@ -293,9 +294,9 @@
                                           far and pod.zone != self.dep.own_zone, self._chance()))
 
     def _park(self, inf: Inference):
-        if not inf.belief.out:
-            if inf.belief.over_share or self._hopeless(inf):
-                return self._finish(inf)
+        if not inf.belief.out and (inf.belief.cheap or self._hopeless(inf)):
+            self._finish(inf)
+        elif not inf.belief.out:
             self.parked[inf] = None
 
     def _unpark(self, most: int):
@@ -309,8 +310,8 @@
                 self._place(inf)
 
     def _hopeless(self, inf: Inference) -> bool:
-        """Held too long to be in time: shed at once, before it costs anybody work."""
-        usual, slo = self.usual[inf.group], inf.group.slo_time
+        """Held too long to be in time: shed before it costs anybody work."""
+        slo, usual = inf.group.slo_time, self.usual[inf.group]
         return self.now - inf.belief.arrived > min(HELD * slo, slo - usual.mean - usual.spread)
 
     def _forward(self, inf: Inference, pod: _Pod):
@@ -399,7 +400,6 @@
         self.load_share = min(MOST_LOADS, self.load_share + step / self._load_window())
 
     def _load_window(self) -> float:
-        """Own loads at once: at first own part of one for each invoker."""
         return max(1.0, self.load_share * len(self.pods) / self.dep.controllers)
 
     def _load_patience(self, mdl: _Mdl) -> float:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -59,3 +59,13 @@
             held += 1
             world.settle(order)
     assert 1 <= held <= 5
+
+
+def test_a_shed_repeat_does_not_use_up_the_share_of_first_tries():
+    tenant = it.Tenant("t", 1.0, 20.0)
+    world = World(deployment(tenants=[tenant]))
+    world.roster("w0")
+    for _ in range(60):
+        world.arrive("m", tenant=tenant, repeat=True)
+    shed = [any(isinstance(act, it.Shed) for act in world.arrive("m", tenant=tenant)[1]) for _ in range(30)]
+    assert shed[0] is False and shed[-1] is True
