--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,5 +1,5 @@
 """One small day for each failure that was found."""
-from world import World, deployment
+from world import World, deployment, group
 
 from sprucespool import interface as it
 
@@ -69,3 +69,25 @@
         world.arrive("m", tenant=tenant, repeat=True)
     shed = [any(isinstance(act, it.Shed) for act in world.arrive("m", tenant=tenant)[1]) for _ in range(30)]
     assert shed[0] is False and shed[-1] is True
+
+
+def test_the_gates_say_no_by_themselves():
+    once, free = group("once", it.Effect.NON_RETRIABLE), group()
+    for grp, dep in ((once, deployment(once, may_duplicate=True)), (free, deployment(free))):
+        world = World(dep)
+        world.roster("w0", "w1")
+        inf, acts = world.arrive("m", grp)
+        control, pod = world.controller, forwards(acts)[0].belief.pod
+        assert not control._may_repeat(inf)
+        assert control._may_forward(inf, pod) and control._may_order(pod)
+        world.roster(pod.invoker.name, status=it.Status.DRAINING)
+        assert not control._may_forward(inf, pod) and not control._may_order(pod)
+
+
+def test_a_burst_right_after_a_start_stays_in_the_cold_budget():
+    world = World(deployment())
+    world.roster("w0", started=world.now)
+    world.end(forwards(world.arrive("m", lanes=16)[1])[0])
+    for _ in range(10):
+        world.arrive("m", lanes=16)
+    assert len(world.cold_work) <= 2
