Shared orders by turns and warm lists by level: new models no longer cost the fleet each

Cause: each new model drew and sorted an order of all invokers (0.3 to 0.5 ms at 300), and a favourite's hundreds of warm copies were each weighed for each inference. 1,024 shared orders stand now for all models, a draw is one product modulo a prime; the warm list is cut by lanes and open windows and weighed level by level; a spare load is sought through the index.

--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -31,6 +31,8 @@
 # Idle times for which a model's last warm copy is held beyond its use; others' calls that keep it without.
 # Places for each invoker that a model's part of the traffic is worth: more even the load, fewer spare loads.
 RENEWALS, OTHERS_KEEP, PLACES, FEW_LOADS = 3.0, 2.0, 3.0, 3.0
+# Shared orders of the invokers, for all models together; a prime for their draws.
+TURNS, PRIME = 1024, 2**61 - 1
 # The part of the cold budget used, as arrivals bunch; the time over which carried work is averaged.
 COLD_CAUTION, CARRIED_OVER = 0.4, 5000.0
 
@@ -59,6 +61,7 @@
         self.far = dep.crossing_price > 0 and entry.zone != dep.own_zone
         self.holds: dict[_Mdl, None] = {}
         self.level: int | None = None
+        self.salt, self.at = _salt(entry.invoker.name), 0
         self.serving, self.heard, self.new, self.cold = False, now, True, 0
         self.out: dict[Forward, None] = {}
         self.suspect, self.trial_at, self.trial_gap = False, 0.0, FIRST_TRIAL
@@ -71,6 +74,18 @@
         return len(self.out) - self.cold
 
 
+class _Turns:
+    """An order of the invokers that all controllers share, for each model whose name falls on it. Against a
+    draw for each invoker and each model: ten thousand models asked for once would cost millions."""
+
+    def __init__(self, number: int):
+        self.salt, self.draws, self.order, self.ranks, self.ranked = _salt(f"turn {number}"), {}, [], {}, None
+
+
+def _salt(name: str) -> int:
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=7).digest(), "big") + 1
+
+
 class _Load:
     """A load this controller has set going, with the inferences that wait here until it stands."""
 
@@ -84,10 +99,10 @@
 class _Mdl:
     """What is believed of one model: its queue of warm invokers, own lanes taken, loads, shared places."""
 
-    def __init__(self, model, number: int):
+    def __init__(self, model: Model, number: int, turns: _Turns):
         self.model, self.number, self.lanes, self.load_time, self.look_at = model, number, 1, None, math.inf
         self.asked, self.asked_at, self.part = 0, 0.0, 0.0
-        self.draws, self.order, self.ranks, self.ranked = {}, [], {}, None
+        self.turns = turns
         # By invoker: until when an entry holds, for how many copies; own lanes taken; own loads; all ever.
         self.warm, self.busy, self.loads, self.stood, self.told = {}, {}, {}, {}, {}
 
@@ -107,7 +122,7 @@
         self.actions = [SetTimer(PULSE_EVERY, PULSE)] + [Subscribe(True)] * deployment.roster_asked
         self.pods, self.dues, self.rosters, self.near, self.in_flight = [], [], 0, 0, 0
         # Pods that may be suspects; models by the time at which something of theirs must be looked at.
-        self.ill, self.looks, self.models, self.levels = {}, [], 0, {}
+        self.ill, self.looks, self.models, self.levels, self.turns = {}, [], 0, {}, {}
         self.known, self.parked, self.loads, self.buckets = {}, {}, {}, {}
         self.orders, self.arrivals = deque(), deque()
         self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
@@ -175,10 +190,10 @@
                 self._abandon(mdl.loads[pod])
             if not wanted or mdl.loads or len(self.loads) >= self._load_window():
                 continue
-            bare = [other for other in self._healthy() if other not in mdl.warm]
+            # Against a fleet that leaves one by one (deploys, deaths): loaded again before it is missed.
+            bare = self._seek(mdl, lambda other, warm=mdl.warm: other not in warm and not other.suspect)
             if bare:
-                # Against a fleet that leaves one by one (deploys, deaths): loaded again before it is missed.
-                self._order(mdl, self._least(bare, mdl))
+                self._order(mdl, bare)
         pod.holds.clear()
 
     def _arrived(self, event: Arrived):
@@ -199,7 +214,8 @@
     def _known(self, model: Model) -> _Mdl:
         if model.belief is None:
             self.models += 1
-            model.belief = _Mdl(model, self.models)
+            turn = _salt(model.name) % TURNS
+            model.belief = _Mdl(model, self.models, self.turns.setdefault(turn, _Turns(turn)))
             self.known[model.belief] = None
             self._look(model.belief, self.now + RENEWALS * self.dep.keep_alive)
         return model.belief
@@ -243,15 +259,25 @@
             return self._forward(inf, trial)
         part, now, anywhere = BEYOND if mind.cheap else 1.0, self.now, inf.group.scope is Scope.ALL
         shared = 2 * len(ill) >= len(self.pods)
-        # The queue first: the fleet is looked through only for what it can't take.
-        warm = [pod for pod, (until, _) in mdl.warm.items() if until > now and (shared or not pod.suspect)
-                and pod.work + mind.luck < pod.window * part and self._may_forward(inf, pod)]
-        warm = [pod for pod in warm if pod not in mind.tried] or warm
-        free = [pod for pod in warm if mdl.busy.get(pod, 0) < mdl.lanes * mdl.warm[pod][1]]
         order, places = self._places(mdl)
         spread = thin and places > 1
-        if free and not spread:
-            return self._forward(inf, self._least(free))
+
+        def ready(pod: _Pod) -> bool:
+            return ((shared or not pod.suspect) and pod.work + mind.luck < pod.window * part
+                    and self._may_forward(inf, pod))
+        # The queue first: the fleet is looked through only for what it can't take. Level by level: of the
+        # hundreds of copies of a favourite only the least-loaded are weighed.
+        busy, lanes, past = mdl.busy, mdl.lanes, mind.tried
+        warm = [pod for pod, (until, _) in mdl.warm.items() if until > now and pod.level is not None]
+        if past:
+            warm = [pod for pod in warm if ready(pod)]
+            warm = [pod for pod in warm if pod not in past] or warm
+        free = [pod for pod in warm if busy.get(pod, 0) < lanes * mdl.warm[pod][1]]
+        for level in () if spread else sorted({len(pod.out) for pod in free}):
+            least = [pod for pod in free if len(pod.out) == level and ready(pod)]
+            if least:
+                return self._forward(inf, self._least(least))
+        warm = warm if past else [pod for pod in warm if ready(pod)]
 
         def has_room(pod: _Pod) -> bool:
             # One that left may still have a load here until its turn to be struck comes.
@@ -259,7 +285,6 @@
                     and pod.work + mind.luck < pod.window * part
                     and (anywhere and pod.warm_at <= now or self._may_forward(inf, pod)))
         # Those tried before only where nothing else has room.
-        past = mind.tried
         while True:
             open_places = [pod for pod in order[:places] if has_room(pod)] if spread else []
             if open_places:
@@ -298,27 +323,30 @@
         level = None if not kept else -1 if pod.new or self._cold(pod) else len(pod.out)
         if level != pod.level:
             if pod.level is not None:
-                del self.levels[pod.level][pod]
-                if not self.levels[pod.level]:
+                held = self.levels[pod.level]
+                held[pod.at] = held[-1]
+                held.pop().at = pod.at
+                if not held:
                     del self.levels[pod.level]
             if level is not None:
-                self.levels.setdefault(level, {})[pod] = None
+                pod.at = len(self.levels.setdefault(level, []))
+                self.levels[level].append(pod)
             pod.level = level
 
     def _seek(self, mdl: _Mdl, fits: Callable[[_Pod], bool]) -> _Pod | None:
         """The least-loaded that fits; among equals the own hall first, then the model's shared order."""
         for pod in [pod for pod in self.levels.get(-1, ()) if not pod.new and not self._cold(pod)]:
             self._file(pod)
-        order, places = self._places(mdl)
+        (order, places), ranks = self._places(mdl), mdl.turns.ranks
         # In whole inferences: with little traffic the few invokers heard would else be all that is used.
-        mean, average = self.in_flight // max(1, len(self.pods)), self.levels.get(-1, {})
+        mean, average = self.in_flight // max(1, len(self.pods)), self.levels.get(-1, [])
         for level in sorted({max(level, mean) if level < 0 else level for level in self.levels}):
-            held, also = self.levels.get(level, {}), average if level == mean else {}
+            held, also = self.levels.get(level, []), average if level == mean else []
             few = 8 * (len(held) + len(also)) < len(order)
             ties, key = [], None
-            for pod in sorted([*held, *also], key=mdl.ranks.get) if few else order:
-                if few or pod in held or pod in also:
-                    its = pod.far, max(places - 1, mdl.ranks[pod])
+            for pod in sorted([*held, *also], key=ranks.get) if few else order:
+                if few or pod.level == level or also and pod.level == -1:
+                    its = pod.far, max(places - 1, ranks[pod])
                     if ties and its != key:
                         break
                     if fits(pod):
@@ -328,14 +356,8 @@
                 return ties[0] if len(ties) == 1 else self._first([0] * len(ties), ties)
         return None
 
-    def _least(self, pods: list[_Pod], fallback: _Mdl | None = None) -> _Pod:
-        if not fallback:
-            return self._first([(len(pod.out), pod.far) for pod in pods], pods)
-        # In whole inferences: with little traffic the few invokers heard would else be all that is used.
-        mean, now = self.in_flight // max(1, len(self.pods)), self.now
-        ranks, places = fallback.ranks, self._places(fallback)[1]
-        return self._first([(mean if pod.new or now < pod.warm_at else len(pod.out), pod.far,
-                             max(places - 1, ranks.get(pod, 0))) for pod in pods], pods)
+    def _least(self, pods: list[_Pod]) -> _Pod:
+        return self._first([(len(pod.out), pod.far) for pod in pods], pods)
 
     def _first(self, keys: list, pods: list[_Pod]) -> _Pod:
         """Ties by chance; each place in the list has a draw of its own, and only those of ties are made."""
@@ -346,22 +368,21 @@
     def _places(self, mdl: _Mdl) -> tuple[list[_Pod], int]:
         """Ties by a draw that all controllers share: each sees too little of others' copies, and by chance
         each would load its own. A model has as many places as its part of the own traffic is worth."""
-        places = math.ceil(PLACES * self.near * mdl.part / max(1.0, self.traffic))
-        if mdl.ranked != self.rosters:
-            mdl.draws = {pod: mdl.draws.get(pod) or self._shared_draw(mdl, pod) for pod in self.pods}
-            mdl.order = sorted(self.pods, key=lambda pod: (
-                pod.far, mdl.draws[pod] * 1.5 ** self.slowness.get(pod.kind, 0)))
-            mdl.ranks, mdl.ranked = {pod: n for n, pod in enumerate(mdl.order)}, self.rosters
-        return mdl.order, places
+        places, turns = math.ceil(PLACES * self.near * mdl.part / max(1.0, self.traffic)), mdl.turns
+        if turns.ranked != self.rosters:
+            old, slow = turns.draws, {kind: 1.5 ** steps for kind, steps in self.slowness.items()}
+            turns.draws = {pod: old.get(pod) or self._shared_draw(turns, pod) for pod in self.pods}
+            turns.order = sorted(self.pods, key=lambda pod: (
+                pod.far, turns.draws[pod] * slow.get(pod.kind, 1.0)))
+            turns.ranks, turns.ranked = {pod: n for n, pod in enumerate(turns.order)}, self.rosters
+        return turns.order, places
 
     def _thin(self) -> bool:
         """Own entries lapse before own traffic renews them: a favourite is sought in all its places."""
         return self.dep.controllers > len(self.pods)
 
-    def _shared_draw(self, mdl: _Mdl, pod: _Pod) -> float:
-        key = f"{mdl.model.name} {pod.entry.invoker.name}".encode()
-        draw = int.from_bytes(hashlib.blake2b(key, digest_size=6).digest(), "big")
-        return -math.log((draw + 1) / 2**48) / max(pod.entry.size, 1e-3)
+    def _shared_draw(self, turns: _Turns, pod: _Pod) -> float:
+        return -math.log((turns.salt * pod.salt % PRIME) / PRIME) / max(pod.entry.size, 1e-3)
 
     def _park(self, inf: Inference):
         if not inf.belief.out and (inf.belief.cheap or self._hopeless(inf)):
