--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -187,6 +187,19 @@
     assert not found.untried and found.ended(60.0, "w0:1", "m1", "began load") == []
 
 
+def test_a_deploy_while_it_learns_leaves_only_the_claims_of_processes_that_still_run():
+    found, _ = newcomer(boots=[(f"w{n}:1", "1") for n in range(4)], page=1000)
+    passed = []
+    for n in range(4):
+        # One process after the other is replaced between pages; the source has not heard of it.
+        found.named(20.0 + n, [(f"w{n}:1", "2")], [])
+        claims = [Row(f"w{k}:1", "1", f"m{n}-{k}", 1, 1, 50.0) for k in range(4)]
+        passed += told(found.page(30.0 + n, "s", claims, True))
+    assert sorted(step.claim.invoker for step in passed) == ["w1:1", "w2:1", "w2:1", "w3:1", "w3:1", "w3:1"]
+    fresh = [Row(f"w{k}:1", "2", f"n{k}", 1, 1, 50.0) for k in range(4)]
+    assert len(told(found.page(40.0, "s", fresh, False))) == 4
+
+
 def test_claims_wait_for_the_roster_and_go_when_it_names_their_process():
     found, _ = newcomer(boots=())
     assert told(found.page(10.0, "s", rows(4), False)) == []
@@ -371,6 +384,54 @@
     assert (tmp_path / "known.snap.refused").exists() and counts(stage, third).returned == 12
 
 
+def test_all_controllers_restart_at_once_and_each_is_warm_from_its_own_snapshot(stage, tmp_path):
+    fleet = [stage.invoker(keep_alive=20_000.0) for _ in range(3)]
+    invokers = [one.name for one in fleet]
+
+    def begin(round, at=()):
+        daemons = []
+        for n in range(3):
+            (tmp_path / f"{round}{n}").mkdir()
+            sources = "; ".join(f'source "127.0.0.1:{one.port}"' for one in at) or "period \"1s\""
+            more = LEARNS.format(f'{sources}; snapshot "{tmp_path / f"{n}.snap"}"')
+            daemons.append(stage.controller(tmp_path / f"{round}{n}", invokers, more))
+        return daemons
+    before = begin("a")
+    for daemon in before:
+        ask_all(daemon)
+    for daemon in before:
+        stage.run(daemon.stop(1000))
+    known = loads(stage, *fleet)
+    # Sources that are gone with the rest: the snapshots are all there is.
+    after = begin("b", before)
+    assert [settle(stage, daemon, 12) for daemon in after] == [12, 12, 12]
+    for daemon in after:
+        ask_all(daemon)
+    assert loads(stage, *fleet) == known
+    assert all(counts(stage, daemon).returned == 12 for daemon in after)
+
+
+def test_an_invoker_told_as_warm_gets_nothing_if_the_roster_lacks_it_or_says_it_drains(stage, tmp_path):
+    fleet = [stage.invoker(keep_alive=20_000.0) for _ in range(4)]
+    invokers = [one.name for one in fleet]
+    first = teach(stage, tmp_path / "first", invokers)
+    ran = [one.worker.tally.ran for one in fleet]
+    assert all(ran), "each holds something"
+    (tmp_path / "told").mkdir()
+    second = stage.controller(tmp_path / "told", invokers[:3], learns(first))
+    assert settle(stage, second, sum(ran[:3])) == sum(ran[:3])
+    # A grace must not let it have anything new either: the file says so after the claims were taken in.
+    (tmp_path / "told" / "invokers.kdl").write_text(
+        f'invoker "{invokers[0]}" draining=#true\ninvoker "{invokers[1]}"\ninvoker "{invokers[2]}"\n')
+    end = time.monotonic() + 5.0
+    while time.monotonic() < end and len(stage.call(lambda: second.door.gateway.module.pods)) > 2:
+        time.sleep(0.02)
+    ask_all(second)
+    assert counts(stage, second).returned == 12
+    now = [one.worker.tally.ran for one in fleet]
+    assert (now[0], now[3]) == (ran[0], ran[3])
+
+
 def test_where_the_settings_say_nothing_of_it_nothing_is_asked_or_answered(stage, tmp_path):
     standin = stage.invoker()
     daemon = stage.controller(tmp_path, [standin.name])
