--- a/sprucespool/standin/stage.py
+++ b/sprucespool/standin/stage.py
@@ -380,7 +380,7 @@
         return Result(day.name, day.seed, self.options.decider, table, judge(found, facts(day)), self.unclean, stops,
                       [self._newcomer(found, number, at) for number, at in self.joined])
 
-    def _newcomer(self, found: list[seen.Seen], number: int, at: float, span: float = 10_000.0) -> dict[str, float]:
+    def _newcomer(self, found: list[seen.Seen], number: int, at: float, span: float = 30_000.0) -> dict[str, float]:
         """A started controller's first seconds: first tries sent to it and returned in SLO time, the fleet's loads."""
         groups = {group.name: group for group in self.day.model_groups}
         sent = {one.id: one for one in found if isinstance(one, seen.Sent) and one.controller == number
