--- a/sprucespool/daemon/door.py
+++ b/sprucespool/daemon/door.py
@@ -18,16 +18,16 @@
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.policy import Controller
 from sprucespool.settings.controller import ControllerPlan, ModelTable, address, deployment
-from sprucespool.transport import Pool, PoolLimits, ServerCall, Unconnected, unary
-from sprucespool.transport.listener import Method
-from sprucespool.transport.pool import Heard, PoolCall
+from sprucespool.transport.listener import Method, ServerCall, unary
+from sprucespool.transport.plan import PoolLimits
+from sprucespool.transport.pool import Heard, Pool, PoolCall, Unconnected
+from sprucespool.transport.turn import Turn
 from sprucespool.wire import inference_pb2 as oip
 from sprucespool.wire import names, outcomes
 from sprucespool.wire import platform_pb2 as platform
 from sprucespool.wire.peek import Garbled, Glance, glance, wrap_stream_result
 
 LOOK_EVERY = 1.0
-LAG_EVERY = 0.02
 
 
 @dataclass(slots=True, eq=False)
@@ -65,19 +65,18 @@
         self.loop = asyncio.get_running_loop()
         self.gateway = library(deployment(plan), plan.seed, self._effect, decider)
         self.taker: Gateway | Recorder = Recorder(self.gateway, record) if record else self.gateway
+        self.turn = Turn(self.taker.take, self._after)
         self.models = ModelTable(plan.models)
         self.clients: dict[str, _Client] = {}
         self.out: dict[int, _Out] = {}
         self.pools: dict[str, Pool] = {}
         self.asked: dict[int, PoolCall] = {}
         self.peers = {peer.number: peer.address for peer in plan.peers}
-        self.inputs: list[ms.Input] = []
         # Forwards whose end is told: their results may be wanted until the gateway took it, and never after.
         self.ended: list[int] = []
         self.debugging = plan.log.level == "debug"
         self.held = self.numbers = 0
-        self.scheduled, self.leaving, self.closed = False, False, False
-        self.wake: asyncio.TimerHandle | None = None
+        self.leaving, self.closed = False, False
         self.subscribe: Callable[[bool], None] = lambda active: None
         self.fetch_roster: Callable[[], None] = lambda: None
         self.ready = False
@@ -95,10 +94,7 @@
             self.exchange = Exchange(plan.learning, plan.fleet.keep_alive, self.tell, log, self.about,
                                      plan.seed * 17 + plan.controller.number)
         self.look = self.loop.call_later(LOOK_EVERY, self._look)
-        # How late the loop runs, as a timer of its own sees it; smoothed, since one slow turn is no jam.
-        self.lag, self.turned_away = 0.0, 0
-        self.lag_due = self.loop.time() + LAG_EVERY
-        self.lag_timer = self.loop.call_at(self.lag_due, self._lag)
+        self.turned_away = 0
 
     def now(self) -> float:
         return self.loop.time() * 1000.0
@@ -106,21 +102,10 @@
     # Towards the gateway
 
     def tell(self, given: ms.Input) -> None:
-        """Inputs of one turn of the loop go in together: the module looks at what waits once a batch."""
-        if self.closed:
-            return
-        self.inputs.append(given)
-        if not self.scheduled:
-            self.scheduled = True
-            self.loop.call_soon(self._take)
-
-    def _take(self):
-        self.scheduled = False
-        if self.closed:
-            return
-        inputs, self.inputs = self.inputs, []
+        self.turn.tell(given)
+
+    def _after(self):
         ended, self.ended = self.ended, []
-        self.taker.take(self.now(), inputs)
         for number in ended:
             self.out.pop(number, None)
 
@@ -178,7 +163,7 @@
         if len(self.clients) >= bounds.calls or self.held + len(data) > bounds.held:
             self.turned_away += 1
             return call.finish(outcomes.SHED, "too much is held here", outcomes.pushback(wait))
-        if self.lag > bounds.lag:
+        if self.turn.lag > bounds.lag:
             # Against a loop that falls behind: what it takes in now it would answer when nobody waits any more.
             self.turned_away += 1
             return call.finish(outcomes.SHED, "the controller is behind", outcomes.pushback(wait))
@@ -432,24 +417,9 @@
         if effect.invoker in self.pools:
             self.pools[effect.invoker].close_idle()
 
-    def _wake(self, effect: ms.WakeAt):
-        if self.wake is not None:
-            self.wake.cancel()
-        self.wake = self.loop.call_at(effect.at / 1000.0, self._woke)
-
-    def _woke(self):
-        self.wake = None
-        self.tell(ms.Woke())
-
     def _note(self, effect: ms.Note):
         (self.log.error if effect.fault else self.log.info)("module", text=effect.text, call=effect.call)
 
-    def _lag(self):
-        now = self.loop.time()
-        self.lag += 0.3 * (max(0.0, now - self.lag_due) * 1000.0 - self.lag)
-        self.lag_due = now + LAG_EVERY
-        self.lag_timer = self.loop.call_at(self.lag_due, self._lag)
-
     def _look(self):
         self.look = self.loop.call_later(LOOK_EVERY, self._look)
         for name, pool in list(self.pools.items()):
@@ -465,7 +435,7 @@
         while self.clients and self.loop.time() < end:
             await asyncio.sleep(0.01)
         if self.exchange is not None:
-            self.exchange.last_words(self._take)
+            self.exchange.last_words(self.turn.flush)
         left = list(self.clients.values())
         for client in left:
             client.call.finish(outcomes.FAILED, "the controller shuts down")
@@ -478,9 +448,7 @@
         if self.exchange is not None:
             self.exchange.stop()
         self.look.cancel()
-        self.lag_timer.cancel()
-        if self.wake is not None:
-            self.wake.cancel()
+        self.turn.close()
         for pool in self.pools.values():
             pool.close()
 
@@ -501,7 +469,7 @@
     ms.StreamBegun: Door._stream_begun, ms.StreamEnded: Door._stream_ended, ms.AnswerShed: Door._shed,
     ms.AnswerFailed: Door._failed, ms.Rejected: Door._rejected, ms.SendOrder: Door._order,
     ms.SendUnload: Door._unload, ms.SendProbe: Door._probe, ms.CloseIdle: Door._close_idle,
-    ms.SendMessage: Door._message, ms.WakeAt: Door._wake, ms.Note: Door._note,
+    ms.SendMessage: Door._message, ms.WakeAt: lambda door, effect: door.turn.wake_at(effect.at), ms.Note: Door._note,
     ms.BeliefsGiven: lambda door, effect: door.exchange.given(effect) if door.exchange else None,
     ms.SubscribeRoster: lambda door, effect: door.subscribe(effect.active),
     ms.FetchRoster: lambda door, effect: door.fetch_roster(),
--- a/sprucespool/daemon/learning.py
+++ b/sprucespool/daemon/learning.py
@@ -21,9 +21,9 @@
 from sprucespool.membership import decode as decode_message
 from sprucespool.membership import encode as encode_message
 from sprucespool.settings.controller import Learning, address
-from sprucespool.transport import Pool, PoolLimits, ServerCall, unary
-from sprucespool.transport.listener import Method
-from sprucespool.transport.pool import ENDS, Heard
+from sprucespool.transport.listener import Method, ServerCall, unary
+from sprucespool.transport.plan import PoolLimits
+from sprucespool.transport.pool import ENDS, Heard, Pool
 from sprucespool.wire import names
 from sprucespool.wire import platform_pb2 as platform
 
--- a/sprucespool/daemon/request.py
+++ b/sprucespool/daemon/request.py
@@ -5,7 +5,7 @@
 
 from google.protobuf.message import DecodeError
 
-from sprucespool.transport import ServerCall
+from sprucespool.transport.listener import ServerCall
 from sprucespool.wire import outcomes
 
 
--- a/sprucespool/daemon/roster.py
+++ b/sprucespool/daemon/roster.py
@@ -14,8 +14,8 @@
 from sprucespool.grpc.status import Limits, Metadata
 from sprucespool.settings import Refused, read
 from sprucespool.settings.controller import Invokers, address
-from sprucespool.transport import Backoff, Pool, PoolLimits
-from sprucespool.transport.pool import Heard, PoolCall
+from sprucespool.transport.plan import Backoff, PoolLimits
+from sprucespool.transport.pool import Heard, Pool, PoolCall
 from sprucespool.wire import names
 from sprucespool.wire import platform_pb2 as platform
 
--- a/sprucespool/daemon/serve.py
+++ b/sprucespool/daemon/serve.py
@@ -18,7 +18,7 @@
 from sprucespool.grpc.status import Limits
 from sprucespool.policy import Controller
 from sprucespool.settings.controller import ControllerPlan, loopback
-from sprucespool.transport import Listener, Server
+from sprucespool.transport.listener import Listener, Server
 
 
 class Daemon:
--- a/sprucespool/grpc/status.py
+++ b/sprucespool/grpc/status.py
@@ -5,6 +5,8 @@
 from enum import IntEnum
 from urllib.parse import quote, unquote
 
+from sprucespool.links import LinkError as LinkError
+
 Metadata = dict[str, str]
 
 
@@ -37,10 +39,6 @@
 LONGEST = 8.64e7
 
 
-class LinkError(Exception):
-    """The peer broke the protocol or a limit: the whole connection ends, with this reason."""
-
-
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Bounds of one connection; sizes in bytes, times in milliseconds."""
--- /dev/null
+++ b/sprucespool/node/door.py
@@ -0,0 +1,318 @@
+"""Between sockets and the gateway: inferences of clients in, forwards and orders to invokers out.
+
+Holds no decisions: it knows which connection each inference and forward belongs to, and carries out the gateway's
+effects.
+"""
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sprucespool import interface as it
+from sprucespool.gateway import Gateway
+from sprucespool.gateway import messages as ms
+from sprucespool.node.clients import Front, Peer
+from sprucespool.node.invokers import Ask, Invoker
+from sprucespool.node.logs import Log
+from sprucespool.relay.configuration import Configuration
+from sprucespool.relay.feed import Roster
+from sprucespool.relay.frames import Request, Terms
+from sprucespool.relay.lines import Answer
+from sprucespool.transport.plan import PoolLimits
+from sprucespool.transport.turn import Turn
+
+LOOK_EVERY = 0.25
+# Of the time after which invokers close idle connections: ours close first, or a forward meets the close.
+IDLE_PART = 0.7
+CONNECTIONS, FIRST_PAUSE, LAST_PAUSE = 4, 50.0, 400.0
+# Of the memory: what bodies of open inferences may hold.
+HELD = 0.15
+
+
+@dataclass(slots=True, eq=False)
+class _Client:
+    """One inference of a client."""
+    call: str
+    peer: Peer
+    request: Request
+    given: ms.Call
+    since: float
+    forwards: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class _Out:
+    """One forward, with the result that waits until it is known whose it is."""
+    client: _Client
+    invoker: str
+    ask: Ask | None = None
+    body: bytes = b""
+
+
+class Door:
+    """The gateway's port, and what clients' requests mean."""
+
+    def __init__(self, plan: Configuration, log: Log):
+        self.plan, self.log = plan, log
+        self.gateway = Gateway(plan.deployment, plan.seed, self._effect)
+        self.turn = Turn(self.gateway.take, self._after)
+        self.loop = self.turn.loop
+        self.roster = Roster()
+        self.front = Front(Terms(plan.deployment), self, log, plan.sockets, plan.memory_mb)
+        self.clients: dict[str, _Client] = {}
+        self.ids: dict[str, _Client] = {}
+        self.out: dict[int, _Out] = {}
+        self.ordered: dict[int, Ask] = {}
+        # Forwards whose end is told: their results may be wanted until the gateway took it, and never after.
+        self.ended: list[int] = []
+        self.invokers: dict[str, Invoker] = {}
+        # Of invokers that left or restarted, until what is open there has ended.
+        self.leaving: dict[Invoker, None] = {}
+        self.numbers = self.held = self.turned_away = 0
+        self.most_held = int(HELD * plan.memory_mb * 2**20)
+        self.ready = False
+        # When the program must have answered all it owes; none while it is not told to end.
+        self.until: float | None = None
+        self.look = self.loop.call_later(LOOK_EVERY, self._look)
+
+    def _after(self):
+        ended, self.ended = self.ended, []
+        for number in ended:
+            self.out.pop(number, None)
+
+    def _effect(self, effect: ms.Effect):
+        EFFECTS[type(effect)](self, effect)
+
+    # The roster
+
+    def start(self) -> None:
+        """What the configuration knows of the invokers."""
+        for news in self.roster.known(self.plan.cursor, self.plan.commands, time.time() * 1000.0):
+            self.rostered(news)
+        self.ready = True
+
+    def rostered(self, news: ms.Roster) -> None:
+        for name, invoker in list(self.invokers.items()):
+            # Against a newcomer at an old address, or a process started afresh, that inherits connections.
+            if self.roster.places.get(name) != invoker.place:
+                del self.invokers[name]
+                self.leaving[invoker] = None
+        self.turn.tell(news)
+
+    def invoker(self, name: str) -> Invoker | None:
+        place = self.roster.places.get(name)
+        if name not in self.invokers:
+            if place is None:
+                return None
+            limits = PoolLimits(
+                connections=CONNECTIONS, connect_timeout=self.plan.deployment.connect_timeout,
+                idle_close=IDLE_PART * self.plan.idle_close, first_backoff=FIRST_PAUSE, last_backoff=LAST_PAUSE)
+            self.numbers += 1
+            self.invokers[name] = Invoker(place, limits, self.plan.streams, self.plan.seed + 7919 * self.numbers,
+                                          lambda what, why: self.log.debug(what, invoker=name, why=why))
+        return self.invokers[name]
+
+    # Clients
+
+    def asked(self, peer: Peer, request: Request) -> bool:
+        """False where the id is that of an open inference: whose answer would it be?"""
+        if request.id in self.ids:
+            return False
+        now = self.turn.now()
+        if self.held + len(request.body) > self.most_held:
+            self.turned_away += 1
+            self.log.info("turned away", why="too much is held here", held=self.held)
+            peer.link.shed(request.stream, 0.0)
+            peer.answered(request.stream)
+            return True
+        ttl = request.ttl - self.turn.lag
+        if self.until is not None:
+            ttl = min(ttl, self.until - now)
+        self.numbers += 1
+        given = ms.Call(
+            f"{self.numbers}", request.group, request.model, max(1.0, ttl), request.tenant, request.work,
+            request.memory_mb, request.lanes, request.load_time, request.repeat)
+        client = _Client(given.call, peer, request, given, now)
+        peer.calls[request.stream] = client
+        self.clients[given.call] = self.ids[request.id] = client
+        self.held += len(request.body)
+        self.turn.tell(given)
+        return True
+
+    def taken_back(self, peer: Peer, stream: int) -> None:
+        client = peer.calls.pop(stream, None)
+        if isinstance(client, _Client):
+            # Hundreds taken back at once are not worth a look of the module each.
+            if not self.turn.withdraw(client.given):
+                self.turn.tell(ms.Left(client.call))
+            self._done(client, "left")
+
+    def _done(self, client: _Client, how: str):
+        if self.clients.pop(client.call, None) is None:
+            return
+        del self.ids[client.request.id]
+        self.held -= len(client.request.body)
+        if self.log.debugging:
+            self.log.debug("inference", id=client.request.id, model=client.request.model, group=client.request.group,
+                           end=how, ms=round(self.turn.now() - client.since, 1), ttl=client.request.ttl,
+                           forwards=",".join(client.forwards) or "-")
+
+    def _answer(self, call: str, how: str, write: Callable[[_Client], None]):
+        client = self.clients.get(call)
+        if client is None:
+            return
+        self._done(client, how)
+        stream = client.request.stream
+        if not client.peer.wire.lost and client.peer.calls.get(stream) is client:
+            write(client)
+            client.peer.answered(stream)
+
+    def _returned(self, effect: ms.AnswerReturned):
+        out = self.out.pop(effect.forward, None)
+        if out is not None:
+            self._answer(effect.call, "returned", lambda client: client.peer.link.returned(
+                client.request.stream, out.body))
+
+    def _shed(self, effect: ms.AnswerShed):
+        self._answer(effect.call, "shed", lambda client: client.peer.link.shed(
+            client.request.stream, effect.retry_after))
+
+    def _failed(self, effect: ms.AnswerFailed):
+        self._answer(effect.call, "failed", lambda client: client.peer.link.failed(client.request.stream))
+
+    def _rejected(self, effect: ms.Rejected):
+        self._answer(effect.call, "rejected", lambda client: client.peer.link.failed(client.request.stream))
+
+    # Invokers
+
+    def _forward(self, effect: ms.SendForward):
+        client, invoker = self.clients.get(effect.call), self.invoker(effect.invoker)
+        if client is None or invoker is None:
+            # The client or the invoker left in this very turn of the loop.
+            return self.turn.tell(ms.ForwardEnded(effect.forward, it.Outcome.NOT_SENT.value))
+        out = self.out[effect.forward] = _Out(client, effect.invoker)
+        request = client.request
+        client.forwards.append(effect.invoker)
+        out.ask = invoker.ask(
+            request.id, lambda link: link.run(request.id, request.group, request.model, effect.time_out, request.once,
+                                              request.body),
+            lambda end: self._heard(effect.forward, out, end))
+
+    def _heard(self, number: int, out: _Out, end: Answer | it.Outcome):
+        if number not in self.out:
+            return
+        self.ended.append(number)
+        if isinstance(end, Answer):
+            out.body = end.body
+            told = self.plan.deployment.tells_same_model and end.outcome in (it.Outcome.RETURNED, it.Outcome.FULL)
+            self.turn.tell(ms.ForwardEnded(number, end.outcome.value, end.found.value, end.load_failed,
+                                           end.same_model if told else None, end.report))
+        else:
+            self.turn.tell(ms.ForwardEnded(number, end.value))
+        if self.log.debugging:
+            outcome = end.outcome if isinstance(end, Answer) else end
+            self.log.debug("forward", id=out.client.request.id, invoker=out.invoker, end=outcome.value,
+                           found=end.found.value if isinstance(end, Answer) else "-",
+                           ms=round(self.turn.now() - (out.ask.at if out.ask else 0.0), 1))
+
+    def _recall(self, effect: ms.Recall):
+        out = self.out.pop(effect.forward, None)
+        if out is not None and out.ask is not None:
+            out.ask.give_up()
+
+    def _ask(self, number: int, name: str, tag: str, write: Callable, ended: Callable[[Answer | it.Outcome], None]):
+        invoker = self.invoker(name)
+        if invoker is None:
+            return ended(it.Outcome.UNCONNECTED)
+
+        def heard(end: Answer | it.Outcome):
+            self.ordered.pop(number, None)
+            ended(end)
+        self.ordered[number] = invoker.ask(tag, write, heard)
+
+    def _order(self, effect: ms.SendOrder):
+        tag = f"o{effect.order}"
+
+        def ended(end: Answer | it.Outcome):
+            standing = end.standing if isinstance(end, Answer) else 0
+            outcome = end.outcome if isinstance(end, Answer) else end
+            self.log.debug("order", invoker=effect.invoker, model=effect.model, end=outcome.value, standing=standing)
+            self.turn.tell(ms.OrderEnded(effect.order, outcome.value, standing))
+        self._ask(effect.order, effect.invoker, tag, lambda link: link.order(tag, effect.model, effect.copies), ended)
+
+    def _probe(self, effect: ms.SendProbe):
+        tag = f"p{effect.probe}"
+        fields = self.plan.deployment.report_fields
+
+        def ended(end: Answer | it.Outcome):
+            outcome = end.outcome if isinstance(end, Answer) else end
+            self.turn.tell(ms.ProbeEnded(effect.probe, outcome.value,
+                                         end.report if isinstance(end, Answer) else {}))
+        self._ask(effect.probe, effect.invoker, tag, lambda link: link.probe(tag, bool(fields)), ended)
+        ask = self.ordered.get(effect.probe)
+        if ask is not None:
+            self.loop.call_later(effect.time_out / 1000.0, self._probe_late, effect.probe, ask)
+
+    def _probe_late(self, number: int, ask: Ask):
+        if self.ordered.get(number) is ask:
+            del self.ordered[number]
+            ask.give_up()
+            self.turn.tell(ms.ProbeEnded(number, it.Outcome.TIMED_OUT.value))
+
+    def _unload(self, effect: ms.SendUnload):
+        invoker = self.invoker(effect.invoker)
+        if invoker is not None:
+            invoker.tell(lambda link: link.unload(effect.model))
+
+    def _close_idle(self, effect: ms.CloseIdle):
+        if effect.invoker in self.invokers:
+            self.invokers[effect.invoker].close_idle()
+
+    def _note(self, effect: ms.Note):
+        (self.log.error if effect.fault else self.log.info)("module", text=effect.text, call=effect.call)
+
+    def _look(self):
+        self.look = self.loop.call_later(LOOK_EVERY, self._look)
+        for invoker in list(self.invokers.values()):
+            invoker.look()
+        for invoker in list(self.leaving):
+            invoker.look()
+            if invoker.quiet:
+                invoker.close()
+                del self.leaving[invoker]
+        late = self.turn.now() - 2 * self.plan.deployment.order_timeout
+        for number, ask in list(self.ordered.items()):
+            if ask.at < late:
+                # The gateway stopped waiting for this order long ago.
+                del self.ordered[number]
+                ask.give_up()
+
+    # The end
+
+    def fail_the_rest(self) -> int:
+        """What is owed at the very end is failed; gives how many that were."""
+        left = list(self.clients.values())
+        for client in left:
+            self._answer(client.call, "failed at the end", lambda client: client.peer.link.failed(
+                client.request.stream))
+        return len(left)
+
+    def close(self) -> None:
+        self.look.cancel()
+        self.turn.close()
+        for invoker in [*self.invokers.values(), *self.leaving]:
+            invoker.close()
+        self.front.close()
+
+
+EFFECTS: dict[type, Callable] = {
+    ms.SendForward: Door._forward, ms.Recall: Door._recall, ms.AnswerReturned: Door._returned,
+    ms.AnswerShed: Door._shed, ms.AnswerFailed: Door._failed, ms.Rejected: Door._rejected,
+    ms.SendOrder: Door._order, ms.SendUnload: Door._unload, ms.SendProbe: Door._probe,
+    ms.CloseIdle: Door._close_idle, ms.Note: Door._note,
+    ms.WakeAt: lambda door, effect: door.turn.wake_at(effect.at),
+    # The platform tells of invokers unasked, and carries nothing between controllers or in streams.
+    ms.SubscribeRoster: lambda door, effect: None, ms.FetchRoster: lambda door, effect: None,
+    ms.SendMessage: lambda door, effect: None, ms.BeliefsGiven: lambda door, effect: None,
+}
--- /dev/null
+++ b/sprucespool/node/invokers.py
@@ -0,0 +1,226 @@
+"""Connections to one invoker: opened at need, spared where they are silent, closed when idle."""
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from sprucespool import interface as it
+from sprucespool.relay.feed import Place
+from sprucespool.relay.lines import Answer, InvokerLink
+from sprucespool.transport.plan import PoolLimits, PoolPlan, Slot
+from sprucespool.transport.wire import Wire
+
+HIGH_WATER = 0
+# An answer that stopped half-way for so long does not go on: the connection is of no more use.
+HALF = 400.0
+# Heard of nothing so long after something was sent: what is new goes on another connection, which shows whether the
+# invoker is still there.
+SILENT = 400.0
+# Tags that one connection keeps in mind, to tell a late answer from a new one; then it takes no more.
+MOST_USED = 20_000
+
+
+class Ask:
+    """Something asked of the invoker. `heard` gets its end, once: an answer, or the outcome without one. None after
+    `give_up`."""
+    __slots__ = ("invoker", "tag", "write", "heard", "conn", "at", "over")
+
+    def __init__(self, invoker: Invoker, tag: str, write: Callable[[InvokerLink], None],
+                 heard: Callable[[Answer | it.Outcome], None], now: float):
+        self.invoker, self.tag, self.write, self.heard, self.at = invoker, tag, write, heard, now
+        self.conn: _Conn | None = None
+        self.over = False
+
+    def end(self, what: Answer | it.Outcome) -> None:
+        if not self.over:
+            self.over = True
+            self.heard(what)
+
+    def give_up(self) -> None:
+        if not self.over:
+            self.over = True
+            if self.conn is not None:
+                self.conn.give_up(self)
+
+
+class _Conn:
+    def __init__(self, invoker: Invoker, slot: Slot):
+        self.invoker, self.slot = invoker, slot
+        self.link = InvokerLink()
+        self.asks: dict[str, Ask] = {}
+        self.silent = False
+        self.wire = Wire(self.link, self._events, self._lost, high_water=HIGH_WATER)
+
+    def begin(self, ask: Ask):
+        ask.conn = self
+        self.asks[ask.tag] = ask
+        ask.write(self.link)
+        self.note()
+        self.wire.flush_soon()
+
+    def note(self):
+        slot = self.slot
+        slot.open_calls, slot.heard = len(self.asks), self.wire.heard
+        room = self.invoker.streams - len(self.asks)
+        slot.room = 0 if self.silent or len(self.link.used) >= MOST_USED else room
+        if not self.asks:
+            slot.idle_since = self.invoker.now()
+
+    def give_up(self, ask: Ask):
+        if self.asks.pop(ask.tag, None) is None:
+            return
+        left = self.link.give_up(ask.tag)
+        if left and self.wire.heard < ask.at and self.invoker.now() - ask.at > SILENT:
+            self.silent = True
+        self.note()
+        self.wire.flush_soon()
+
+    def _events(self, wire: Wire, answers: list[Answer]):
+        self.silent = False
+        for answer in answers:
+            ask = self.asks.pop(answer.tag, None)
+            if ask is not None:
+                ask.end(answer)
+        self.note()
+        if self.link.spoilt:
+            wire.end(str(self.link.spoilt), at_once=True)
+        elif self.slot.room > 0 and self.invoker.waiting:
+            self.invoker.place_waiting()
+
+    def _lost(self, wire: Wire, why: str):
+        self.invoker.drop(self, why)
+        asks, self.asks = list(self.asks.values()), {}
+        for ask in asks:
+            # What was never handed to the socket has certainly not run.
+            ask.end(it.Outcome.RESET if self.link.left(ask.tag) else it.Outcome.UNCONNECTED)
+
+
+class Invoker:
+    """All that goes to one process of an invoker at one address."""
+
+    def __init__(self, place: Place, limits: PoolLimits, streams: int, seed: int,
+                 told: Callable[[str, str], None]):
+        self.place, self.streams, self.told = place, streams, told
+        self.plan = PoolPlan(limits, seed)
+        self.loop = asyncio.get_running_loop()
+        self.conns: dict[Slot, _Conn] = {}
+        self.waiting: deque[Ask] = deque()
+        self.opening: set[asyncio.Task] = set()
+        self.closed = False
+
+    def now(self) -> float:
+        return self.loop.time() * 1000.0
+
+    def ask(self, tag: str, write: Callable[[InvokerLink], None],
+            heard: Callable[[Answer | it.Outcome], None]) -> Ask:
+        ask = Ask(self, tag, write, heard, self.now())
+        self.waiting.append(ask)
+        if len(self.waiting) == 1:
+            self.place_waiting()
+        elif len(self.waiting) > self.plan.limits.waiting:
+            self.waiting.pop()
+            self.loop.call_soon(ask.end, it.Outcome.UNCONNECTED)
+        return ask
+
+    def tell(self, write: Callable[[InvokerLink], None]) -> None:
+        """A line without an answer, where a connection stands."""
+        for conn in self.conns.values():
+            write(conn.link)
+            return conn.wire.flush_soon()
+
+    def place_waiting(self) -> None:
+        while self.waiting:
+            ask = self.waiting[0]
+            if not ask.over:
+                slot, opens, why = self._where(ask)
+                if slot is not None:
+                    self.conns[slot].begin(ask)
+                elif why or self.closed:
+                    # Told in the next turn: the asker does not yet hold the ask.
+                    self.loop.call_soon(ask.end, it.Outcome.UNCONNECTED)
+                else:
+                    if opens:
+                        self._open()
+                    return
+            self.waiting.popleft()
+
+    def _where(self, ask: Ask) -> tuple[Slot | None, bool, str]:
+        # A late answer to an earlier run of the same id would end this one: that goes on another connection.
+        known = [conn for conn in self.conns.values() if ask.tag in conn.link.used]
+        for conn in known:
+            conn.slot.room = 0
+        found = self.plan.place(self.now(), 0)
+        for conn in known:
+            conn.note()
+        return found
+
+    def _open(self):
+        slot = Slot()
+        self.plan.slots.append(slot)
+        task = self.loop.create_task(self._connect(slot))
+        self.opening.add(task)
+        task.add_done_callback(self.opening.discard)
+
+    async def _connect(self, slot: Slot):
+        conn = _Conn(self, slot)
+        try:
+            async with asyncio.timeout(self.plan.limits.connect_timeout / 1000.0):
+                await self.loop.create_connection(lambda: conn.wire, self.place.host, self.place.port)
+        except (OSError, TimeoutError) as problem:
+            self.plan.slots.remove(slot)
+            self.plan.backoff.failed(self.now())
+            self.told("not connected", f"{type(problem).__name__}: {problem}")
+            if not any(not other.ready for other in self.plan.slots):
+                left, self.waiting = list(self.waiting), deque()
+                for ask in left:
+                    ask.end(it.Outcome.UNCONNECTED)
+            return
+        if self.closed or conn.wire.lost:
+            if slot in self.plan.slots:
+                self.plan.slots.remove(slot)
+            conn.wire.end("closed", at_once=True)
+            return self.place_waiting()
+        self.plan.backoff.worked()
+        self.conns[slot] = conn
+        slot.ready = True
+        conn.note()
+        self.place_waiting()
+
+    def drop(self, conn: _Conn, why: str):
+        self.conns.pop(conn.slot, None)
+        if conn.slot in self.plan.slots:
+            self.plan.slots.remove(conn.slot)
+        if conn.asks:
+            self.told("connection lost", f"{why}, {len(conn.asks)} open on it")
+        if self.waiting and not self.closed:
+            self.loop.call_soon(self.place_waiting)
+
+    def look(self) -> None:
+        """Called now and then."""
+        now = self.now()
+        for conn in list(self.conns.values()):
+            half = conn.link.half_since
+            if half and now - half > HALF:
+                conn.wire.end("an answer stopped half-way", at_once=True)
+            elif conn.slot.room <= 0 and not conn.asks:
+                conn.wire.end("of no more use", at_once=conn.silent)
+        for slot in self.plan.look(now)[0]:
+            self.conns[slot].wire.end("idle")
+
+    def close_idle(self) -> None:
+        for conn in list(self.conns.values()):
+            if not conn.asks:
+                conn.wire.end("idle")
+
+    @property
+    def quiet(self) -> bool:
+        return not self.waiting and not self.opening and not any(conn.asks for conn in self.conns.values())
+
+    def close(self) -> None:
+        self.closed = True
+        for task in self.opening:
+            task.cancel()
+        for conn in list(self.conns.values()):
+            conn.wire._flush()
+            conn.wire.end("closed")
--- /dev/null
+++ b/sprucespool/relay/feed.py
@@ -0,0 +1,181 @@
+"""The command channel: HTTP and server-sent events of one connection, and the roster that its events carry."""
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+import msgspec
+
+from sprucespool import interface as it
+from sprucespool.gateway import messages as ms
+from sprucespool.links import LinkError
+
+PATH = "/cmd/next"
+LARGEST_EVENT = 8 * 1024 * 1024
+STATES = {"up": it.Status.IN_SERVICE, "draining": it.Status.DRAINING, "removed": it.Status.GONE}
+
+
+class FeedError(LinkError):
+    """What can't be read on the command channel."""
+
+
+class EntryError(ValueError):
+    """A command that can't be used; the text names the place and what was expected."""
+
+
+@dataclass(slots=True)
+class Told:
+    """One event: its number, and what it says."""
+    number: int
+    data: bytes
+
+
+class FeedLink:
+    """The asking end of one connection to the command channel. Comments are heard as bytes and bring no event."""
+
+    def __init__(self, host: str, last: int):
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=LARGEST_EVENT)
+        self.out = self.http.send(h11.Request(method="GET", target=PATH, headers=[
+            ("Host", host), ("Accept", "text/event-stream"), ("Last-Event-ID", str(last))]))
+        self.out = (self.out or b"") + (self.http.send(h11.EndOfMessage()) or b"")
+        self.rest = b""
+        self.number: int | None = None
+        self.data: list[bytes] = []
+        self.ended = False
+
+    def outgoing(self, data_too: bool = True) -> tuple[bytes, list[Told]]:
+        out, self.out = self.out or b"", b""
+        return out, []
+
+    def forget(self) -> None:
+        self.rest = b""
+
+    def receive(self, data: memoryview | bytes, now: float) -> list[Told]:
+        told: list[Told] = []
+        try:
+            self.http.receive_data(bytes(data))
+            while True:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return told
+                if isinstance(event, h11.Response) and event.status_code != 200:
+                    raise FeedError(f"expected status 200, got {event.status_code}")
+                if isinstance(event, h11.Data):
+                    self._lines(bytes(event.data), told)
+                elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                    self.ended = True
+                    return told
+        except h11.RemoteProtocolError as problem:
+            raise FeedError(f"no HTTP: {problem}") from None
+
+    def _lines(self, data: bytes, told: list[Told]):
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        if len(self.rest) + sum(map(len, self.data)) > LARGEST_EVENT:
+            raise FeedError(f"expected an event of at most {LARGEST_EVENT} bytes")
+        for line in lines:
+            line = line.removesuffix(b"\r")
+            name, _, value = line.partition(b":")
+            value = value.removeprefix(b" ")
+            if not line:
+                if self.number is not None and self.data:
+                    told.append(Told(self.number, b"\n".join(self.data)))
+                self.number, self.data = None, []
+            elif name == b"id":
+                if not value.isdigit() or len(value) > 15:
+                    raise FeedError(f"expected id as a number, got {value[:40]!r}")
+                self.number = int(value)
+            elif name == b"data":
+                self.data.append(value)
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    """Where one process of an invoker listens."""
+    host: str
+    port: int
+    boot: str
+
+
+class Roster:
+    """Events of the command channel, each counted once, as rows for the gateway and places to connect to.
+
+    Kept through every connection, as the numbers go on; a gap is not passed over but asked for again.
+    """
+
+    def __init__(self) -> None:
+        self.last = 0
+        self.places: dict[str, Place] = {}
+
+    def known(self, cursor: int, commands: list[Any], unix: float) -> list[ms.Roster]:
+        """What the configuration tells: all up to `cursor`, older than what the channel told since."""
+        news = [ms.Roster(it.News.RESTORED.value)] if not self.last else []
+        for command in commands:
+            number = command.get("cursor") if isinstance(command, dict) else None
+            if isinstance(number, int) and number > self.last:
+                news += self._read(number, command, unix)
+        self.last = max(self.last, cursor)
+        return news
+
+    def told(self, event: Told, unix: float) -> list[ms.Roster] | None:
+        """None where events between are missing."""
+        if event.number <= self.last:
+            return []
+        try:
+            command = msgspec.json.decode(event.data)
+        except msgspec.DecodeError as problem:
+            raise EntryError(f"event {event.number}: expected JSON: {problem}") from None
+        nodes = command.get("nodes") if isinstance(command, dict) else None
+        if event.number != self.last + 1 and not (isinstance(nodes, dict) and nodes.get("whole") is True):
+            return None
+        return self._read(event.number, command, unix)
+
+    def _read(self, number: int, command: Any, unix: float) -> list[ms.Roster]:
+        nodes = command.get("nodes") if isinstance(command, dict) else None
+        if nodes is None:
+            # A kind of event that is not about invokers.
+            self.last = number
+            return []
+        hosts = nodes.get("hosts") if isinstance(nodes, dict) else None
+        if not isinstance(hosts, list):
+            raise EntryError(f"event {number}: expected nodes with hosts")
+        rows = [self._row(number, host, unix) for host in hosts]
+        whole, version = nodes.get("whole") is True, nodes.get("seq")
+        self.last = number
+        if whole:
+            self.places = {}
+        for row, place in rows:
+            if row.status == it.Status.GONE.value:
+                self.places.pop(row.invoker, None)
+            else:
+                self.places[row.invoker] = place
+        news = it.News.REPLACE if whole else it.News.UPDATE
+        listed = [row for row, _ in rows if not whole or row.status != it.Status.GONE.value]
+        return [ms.Roster(news.value, version if isinstance(version, int) else 0, listed)]
+
+    def _row(self, number: int, host: Any, unix: float) -> tuple[ms.Row, Place]:
+        if not isinstance(host, dict):
+            raise EntryError(f"event {number}: expected hosts as objects")
+
+        def text(name: str) -> str:
+            value = host.get(name)
+            if not isinstance(value, str) or not value:
+                raise EntryError(f"event {number}: expected {name} as text, got {value!r}")
+            return value
+        name, state = text("host"), text("health")
+        if state not in STATES:
+            raise EntryError(f"event {number}: expected health as one of {', '.join(STATES)}, got {state!r}")
+        status = STATES[state]
+        old = self.places.get(name)
+        where = text("dial") if host.get("dial") or old is None else f"{old.host}:{old.port}"
+        address, colon, port = where.rpartition(":")
+        if not colon or not port.isdigit() or not 0 < int(port) < 65536:
+            raise EntryError(f"event {number}: expected dial as ADDRESS:PORT, got {where!r}")
+        born, size = host.get("born_ms") or 0, host.get("share", 1)
+        for what, figure in (("born_ms", born), ("share", size)):
+            if not isinstance(figure, int | float) or not math.isfinite(figure):
+                raise EntryError(f"event {number}: expected {what} as a number, got {figure!r}")
+        row = ms.Row(name, str(host.get("site", "")), str(host.get("class", "")), str(host.get("block", "")),
+                     status.value, float(size), str(born), unix - born if born else None)
+        return row, Place(address, int(port), str(born))
--- /dev/null
+++ b/sprucespool/relay/lines.py
@@ -0,0 +1,219 @@
+"""Lines between this controller and an invoker; the asking end.
+
+Nothing is trusted that was not asked for: answers under unknown ids are skipped, what can't be read ends the
+connection, and a length told is never allocated before its bytes came.
+"""
+from __future__ import annotations
+
+import math
+import re
+from dataclasses import dataclass, field
+
+from sprucespool import interface as it
+from sprucespool.links import LinkError
+
+LONGEST_LINE, LARGEST_BODY = 4096, 262_144
+END = b"\r\n"
+_WORD = re.compile(rb"[!-~]{1,512}\Z")
+_LENGTH = re.compile(rb"[0-9]{1,7}\Z")
+_WHOLE = re.compile(r"[0-9]{1,9}\Z")
+
+RUN, ORDER, PROBE = "run", "order", "probe"
+OUTCOMES = {
+    RUN: {b"HIT": it.Outcome.RETURNED, b"NONE": it.Outcome.MISS, b"SHED": it.Outcome.FULL, b"FAULT": it.Outcome.ERROR,
+          b"LATE": it.Outcome.NOT_SENT},
+    ORDER: {b"HIT": it.Outcome.RETURNED, b"SHED": it.Outcome.FULL, b"FAULT": it.Outcome.ERROR},
+    PROBE: {b"PONG": it.Outcome.RETURNED, b"SICK": it.Outcome.ERROR},
+}
+WORDS = {word for words in OUTCOMES.values() for word in words}
+FOUND = {"resident": it.Found.WARM, "booted": it.Found.BEGAN_LOAD, "rode": it.Found.AWAITED_LOAD}
+LOAD_FAILED = "boot_error"
+
+
+class LineError(LinkError):
+    """What can't be read on an invoker's connection."""
+
+
+class IllegalMove(ValueError):
+    """A line that must not be sent on this connection now."""
+
+
+@dataclass(slots=True, eq=False)
+class Answer:
+    """The end of a run, an order or a probe, under the tag it was asked with."""
+    tag: str
+    outcome: it.Outcome
+    found: it.Found = it.Found.UNTOLD
+    load_failed: bool = False
+    same_model: int = 0
+    standing: int = 0
+    report: dict[str, float] = field(default_factory=dict)
+    body: bytes = b""
+
+
+def _whole(name: str, value: str) -> int:
+    if not _WHOLE.match(value):
+        raise LineError(f"expected {name} as a whole number, got {value[:40]!r}")
+    return int(value)
+
+
+def _report(value: str) -> dict[str, float]:
+    figures = {}
+    for part in value.split(";") if value else ():
+        name, colon, figure = part.partition(":")
+        try:
+            figures[name] = float(figure)
+        except ValueError:
+            figures[name] = math.nan
+        if not colon or not math.isfinite(figures[name]):
+            raise LineError(f"expected meter as NAME:FIGURE;..., got {part[:40]!r}")
+    return figures
+
+
+class InvokerLink:
+    """The asking end of one connection to an invoker."""
+
+    def __init__(self) -> None:
+        self.rest = bytearray()
+        # Since when an answer is half received; 0 while none is.
+        self.half_since = 0.0
+        self.open: dict[str, str] = {}
+        # Tags that were asked with here: a late or doubled answer must not end a later run of the same id.
+        self.used: dict[str, None] = {}
+        self.out: dict[str, bytes] = {}
+        self.drops: list[bytes] = []
+        self.skipped = 0
+        # How many bytes the half-received answer is known to need: no copy with each piece of it.
+        self.need = 0
+        # What ended the reading, where good answers came before it.
+        self.spoilt: LineError | None = None
+
+    # Out
+
+    def _ask(self, kind: str, tag: str, line: bytes):
+        if tag in self.used:
+            raise IllegalMove(f"{tag} was asked with on this connection")
+        self.open[tag], self.used[tag], self.out[tag] = kind, None, line
+
+    def run(self, tag: str, group: str, model: str, wait: float, once: str, body: bytes) -> None:
+        nonce = f",nonce={once}" if once else ""
+        head = f"exec {tag} cls={group},item={model},limit={max(1, int(wait))}{nonce} {len(body)}\r\n"
+        self._ask(RUN, tag, b"%b%b\r\n" % (head.encode(), body))
+
+    def order(self, tag: str, model: str, copies: int) -> None:
+        self._ask(ORDER, tag, f"ensure {tag} item={model},n={copies}\r\n".encode())
+
+    def probe(self, tag: str, load: bool) -> None:
+        self._ask(PROBE, tag, f"{'load' if load else 'health'} {tag}\r\n".encode())
+
+    def unload(self, model: str) -> None:
+        self.drops.append(f"release {model}\r\n".encode())
+
+    def give_up(self, tag: str) -> bool:
+        """Nobody waits for it any more. False if it never left: it does not now."""
+        kind = self.open.pop(tag, None)
+        if kind is None:
+            return True
+        if self.out.pop(tag, None) is not None:
+            return False
+        if kind == RUN:
+            self.drops.append(f"drop {tag}\r\n".encode())
+        return True
+
+    def left(self, tag: str) -> bool:
+        """Whether the line was handed to the socket: what was not has certainly not run."""
+        return tag not in self.out
+
+    def outgoing(self, data_too: bool = True) -> tuple[bytes, list[Answer]]:
+        if not data_too or not (self.out or self.drops):
+            return b"", []
+        lines, self.out, self.drops = [*self.out.values(), *self.drops], {}, []
+        return b"".join(lines), []
+
+    def forget(self) -> None:
+        self.rest = bytearray()
+        self.open.clear()
+        self.out.clear()
+
+    # In
+
+    def receive(self, data: memoryview | bytes, now: float) -> list[Answer]:
+        if self.rest:
+            self.rest += data
+            if len(self.rest) < self.need:
+                return []
+            read = bytes(self.rest)
+        else:
+            read = bytes(data)
+        answers: list[Answer] = []
+        at = self.need = 0
+        try:
+            while at < len(read):
+                found = self._answer(read, at)
+                if found is None:
+                    break
+                answer, at = found
+                if answer is not None:
+                    answers.append(answer)
+        except LineError as problem:
+            # What was read before the noise is good: it must not count as broken off.
+            self.spoilt = problem
+            if not answers:
+                raise
+        if at or not self.rest:
+            self.half_since = now if at < len(read) else 0.0
+            self.rest = bytearray(read[at:])
+        return answers
+
+    def _answer(self, read: bytes, at: int) -> tuple[Answer | None, int] | None:
+        """(answer, where it ends); no answer where nobody asked for it, None where it is not whole yet."""
+        stop = read.find(END, at, at + LONGEST_LINE)
+        if stop < 0:
+            if len(read) - at >= LONGEST_LINE:
+                raise LineError(f"expected a line of at most {LONGEST_LINE} bytes")
+            return None
+        parts = read[at:stop].split(b" ")
+        if len(parts) != 4 or parts[1] not in WORDS or not _WORD.match(parts[0]) or not _LENGTH.match(parts[3]):
+            raise LineError(f"expected ID WORD FIELDS LENGTH, got {read[at:min(stop, at + 80)]!r}")
+        length = int(parts[3])
+        if length > LARGEST_BODY:
+            raise LineError(f"expected a body of at most {LARGEST_BODY} bytes, got {length}")
+        begin = stop + len(END)
+        end = begin + length
+        if len(read) < end + len(END):
+            self.need = end + len(END) - at
+            if len(read) > end and read[end:end + 1] != END[:1]:
+                raise LineError("expected a line's end after the body")
+            return None
+        if read[end:end + len(END)] != END:
+            raise LineError("expected a line's end after the body")
+        tag = parts[0].decode()
+        kind = self.open.get(tag)
+        fields = self._fields(parts[2])
+        if kind is None:
+            self.skipped += 1
+            return None, end + len(END)
+        outcome = OUTCOMES[kind].get(parts[1])
+        if outcome is None:
+            raise LineError(f"expected the end of {kind}, got {parts[1]!r}")
+        tell = fields.get("tell", "")
+        answer = Answer(
+            tag, outcome, FOUND.get(tell, it.Found.UNTOLD) if outcome is it.Outcome.RETURNED else it.Found.UNTOLD,
+            tell == LOAD_FAILED, _whole("same", fields.get("same", "0")), _whole("n", fields.get("n", "0")),
+            _report(fields.get("meter", "")), read[begin:end])
+        del self.open[tag]
+        return answer, end + len(END)
+
+    def _fields(self, data: bytes) -> dict[str, str]:
+        if data == b"-":
+            return {}
+        found = {}
+        try:
+            for part in data.decode("ascii").split(","):
+                name, equals, value = part.partition("=")
+                if not name or not equals:
+                    raise LineError(f"expected fields as name=value,..., got {part[:40]!r}")
+                found[name] = value
+        except UnicodeDecodeError:
+            raise LineError("expected fields as text") from None
+        return found
--- a/sprucespool/standin/clients.py
+++ b/sprucespool/standin/clients.py
@@ -17,8 +17,8 @@
 from sprucespool.standin.script import Day
 from sprucespool.standin.trace import Notes, now_ms
 from sprucespool.standin.traffic import Plan, inferences
-from sprucespool.transport import Broken, Pool, PoolLimits, Unconnected
-from sprucespool.transport.pool import ENDS, Heard, PoolCall
+from sprucespool.transport.plan import PoolLimits
+from sprucespool.transport.pool import ENDS, Broken, Heard, Pool, PoolCall, Unconnected
 from sprucespool.wire import inference_pb2 as oip
 from sprucespool.wire import names, outcomes
 
--- a/sprucespool/standin/invoker.py
+++ b/sprucespool/standin/invoker.py
@@ -34,8 +34,9 @@
 from sprucespool.judge import seen
 from sprucespool.settings.controller import address
 from sprucespool.standin.trace import Notes, now_ms
-from sprucespool.transport import Listener, Pool, PoolLimits, Server, ServerCall, unary
-from sprucespool.transport.pool import ENDS, Heard
+from sprucespool.transport.listener import Listener, Server, ServerCall, unary
+from sprucespool.transport.plan import PoolLimits
+from sprucespool.transport.pool import ENDS, Heard, Pool
 from sprucespool.wire import inference_pb2 as oip
 from sprucespool.wire import names, outcomes
 from sprucespool.wire import platform_pb2 as platform
--- a/sprucespool/standin/platform.py
+++ b/sprucespool/standin/platform.py
@@ -12,8 +12,7 @@
 from sprucespool.grpc.status import Status
 from sprucespool.judge import seen
 from sprucespool.standin.trace import Notes, now_ms
-from sprucespool.transport import ServerCall, unary
-from sprucespool.transport.listener import Method
+from sprucespool.transport.listener import Method, ServerCall, unary
 from sprucespool.wire import names, outcomes
 from sprucespool.wire import platform_pb2 as platform
 
--- a/sprucespool/standin/stage.py
+++ b/sprucespool/standin/stage.py
@@ -30,7 +30,7 @@
 from sprucespool.standin.script import Day
 from sprucespool.standin.trace import Notes, now_ms
 from sprucespool.standin.traffic import catalog, drawn
-from sprucespool.transport import Listener, Server
+from sprucespool.transport.listener import Listener, Server
 
 START_WITHIN = 30.0
 Progress = Callable[[str], None]
--- a/sprucespool/transport/__init__.py
+++ b/sprucespool/transport/__init__.py
@@ -1,8 +1,4 @@
-"""TCP on `asyncio.BufferedProtocol`: buffers, back-pressure, listening, and pools of connections to invokers."""
-from sprucespool.transport.listener import Listener, Server, ServerCall, unary
-from sprucespool.transport.plan import Backoff, PoolLimits
-from sprucespool.transport.pool import Broken, Pool, Unconnected
-from sprucespool.transport.wire import Wire, now_ms
+"""TCP on `asyncio.BufferedProtocol`: buffers, back-pressure, listening, and pools of connections to invokers.
 
-__all__ = ["Backoff", "Broken", "Listener", "Pool", "PoolLimits", "Server", "ServerCall", "Unconnected", "Wire",
-           "now_ms", "unary"]
+The names are in the modules: `wire`, `turn` and `plan` stand alone, `listener` and `pool` bring gRPC along.
+"""
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -46,13 +46,13 @@
         self.over = True
         if self.conn is not None:
             self.conn.forget(self.stream)
-            self.conn.wire.link.reset(self.stream)
+            self.conn.link.reset(self.stream)
             self.conn.wire.flush_soon()
 
     def consumed(self, size: int) -> None:
         """So many bytes of results left for good: the invoker may send as many more."""
         if self.conn is not None and not self.conn.wire.lost:
-            self.conn.wire.link.consumed(self.stream, size)
+            self.conn.link.consumed(self.stream, size)
             self.conn.wire.flush_soon()
 
     def end(self, event: Heard) -> None:
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -4,8 +4,9 @@
 import asyncio
 from collections.abc import Callable
 
-from sprucespool.grpc.link import Event, Link
-from sprucespool.grpc.status import LinkError
+from typing import Any
+
+from sprucespool.links import Link, LinkError
 
 # One for all connections: what is read is copied before the next read, so thousands of idle ones need no buffer.
 BUFFER = memoryview(bytearray(256 * 1024))
@@ -25,8 +26,14 @@
     `on_events(wire, events)` gets what came; `on_lost(wire, why)` once when the connection is gone.
     """
 
-    def __init__(self, link: Link, on_events: Callable[[Wire, list[Event]], None],
-                 on_lost: Callable[[Wire, str], None], on_made: Callable[[Wire], None] | None = None):
+    def __init__(self, link: Link, on_events: Callable[[Wire, list[Any]], None],
+                 on_lost: Callable[[Wire, str], None], on_made: Callable[[Wire], None] | None = None,
+                 high_water: int = HIGH_WATER):
+        self.high_water = high_water
+        # Against last words that unread input would swallow (a close with bytes unread resets the connection):
+        # said after `delay` ms, then the peer is heard out for `linger` ms. 0: closed as soon as they are written.
+        self.delay = self.linger = 0.0
+        self.on_closed: Callable[[Wire], None] = lambda wire: None
         self.link, self.on_events, self.on_lost, self.on_made = link, on_events, on_lost, on_made
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
@@ -37,7 +44,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        transport.set_write_buffer_limits(high=HIGH_WATER)
+        transport.set_write_buffer_limits(high=self.high_water)
         if self.on_made:
             self.on_made(self)
         self.flush_soon()
@@ -69,10 +76,10 @@
         out, drained = self.link.outgoing(data_too=not self.paused)
         if out:
             self.transport.write(out)
-            if self.transport.get_write_buffer_size() > HIGH_WATER + MOST_UNREAD:
+            if self.transport.get_write_buffer_size() > self.high_water + MOST_UNREAD:
                 return self.end("the peer does not read")
         if drained:
-            self.on_events(self, drained)
+            self.on_events(self, list(drained))
 
     def pause_writing(self) -> None:
         self.paused = True
@@ -86,6 +93,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._gone(self.why or (f"{type(exc).__name__}: {exc}" if exc else "closed by the peer"))
+        self.on_closed(self)
 
     def _gone(self, why: str):
         if not self.lost:
@@ -101,6 +109,13 @@
         if self.transport is not None:
             if at_once:
                 self.transport.abort()
+            elif self.linger:
+                out, _ = self.link.outgoing(data_too=False)
+                if self.delay:
+                    self.transport.pause_reading()
+                    self.loop.call_later(self.delay / 1000.0, self._last_words, out)
+                else:
+                    self._last_words(out)
             else:
                 out, _ = self.link.outgoing(data_too=False)
                 self.transport.write(out)
@@ -108,3 +123,11 @@
                 # A peer that never reads must not hold the socket: whatever is unwritten then is dropped.
                 self.loop.call_later(1.0, self.transport.abort)
         self._gone(why)
+
+    def _last_words(self, out: bytes):
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.transport.write(out)
+        self.transport.write_eof()
+        self.transport.resume_reading()
+        self.loop.call_later(self.linger / 1000.0, self.transport.abort)
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -25,7 +25,7 @@
 )
 from sprucespool.learning import codec as cd
 from sprucespool.learning.knowledge import received, told_on
-from sprucespool.transport import Listener, Server, unary
+from sprucespool.transport.listener import Listener, Server, unary
 from sprucespool.wire import names
 from sprucespool.wire import platform_pb2 as platform
 
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,374 @@
+"""The platform's door on loopback, between small stand-ins of invokers, channel and clients."""
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+from platform_world import asked, configuration, frame
+from sprucespool.node.logs import Log
+from sprucespool.node.serve import Node
+from sprucespool.relay.configuration import read
+
+KEY = "7f3a9c21e0b4d655"
+
+
+class StandIn:
+    """An invoker: `behave(command, tag, body)` gives what it writes; None: nothing at all."""
+
+    def __init__(self, behave=None):
+        self.behave = behave or (lambda command, tag, body: f"{tag} HIT tell=resident {len(body)}\r\n".encode()
+                                 + body + b"\r\n")
+        self.heard, self.connections, self.writers = [], 0, []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while line := await reader.readline():
+                words = line.decode().split()
+                body = b""
+                if words[0] == "exec":
+                    body = (await reader.readexactly(int(words[3]) + 2))[:-2]
+                self.heard.append((words, body, time.monotonic()))
+                out = self.behave(words[0], words[1], body)
+                if asyncio.iscoroutine(out):
+                    out = await out
+                if out == "reset":
+                    return writer.transport.abort()
+                if out:
+                    writer.write(out)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+
+    def runs(self):
+        return [words for words, _, _ in self.heard if words[0] == "exec"]
+
+
+class ChannelStandIn:
+    """The command channel: each connection plays the next list of lines; "end" breaks it off."""
+
+    def __init__(self, *plays):
+        self.plays, self.asked = list(plays), []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.asked.append(next(line for line in head.decode().split("\r\n") if line.startswith("Last-Event-ID")))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        try:
+            for text in self.plays.pop(0) if self.plays else ():
+                writer.write(text)
+            if not self.plays:
+                while True:
+                    writer.write(b": still here\n\n")
+                    await asyncio.sleep(0.3)
+        except (ConnectionError, asyncio.CancelledError):
+            return
+        writer.close()
+
+
+class Client:
+    def __init__(self, reader, writer):
+        self.reader, self.writer = reader, writer
+
+    async def answer(self):
+        """(type, stream, code, rest) of the next frame; None at the connection's end."""
+        try:
+            size = int.from_bytes(await self.reader.readexactly(4), "big")
+            data = await self.reader.readexactly(size)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        return data[0], int.from_bytes(data[1:5], "big"), data[5] if len(data) > 5 else None, data[6:]
+
+    async def ask(self, data):
+        self.writer.write(data)
+        return await asyncio.wait_for(self.answer(), 4)
+
+
+def node_entry(number, *hosts, whole=True):
+    return {"cursor": number, "nodes": {"seq": number, "whole": whole, "hosts": [
+        {"host": name, "dial": f"127.0.0.1:{port}", "site": "east", "class": "std", "block": 1, "health": health,
+         "share": 1, "born_ms": 0} for name, port, health in hosts]}}
+
+
+class World:
+    def __init__(self, invokers, channel=None, **change):
+        self.invokers, self.channel, self.change = invokers, channel or ChannelStandIn(), change
+
+    async def __aenter__(self):
+        for invoker in self.invokers:
+            await invoker.start()
+        await self.channel.start()
+        first = node_entry(1, *[(f"s-{n}", one.port, "up") for n, one in enumerate(self.invokers)])
+        told = configuration(channel=f"127.0.0.1:{self.channel.port}", known={"cursor": 1, "cmds": [first]})
+        told.update(self.change)
+        self.node = Node("", read(json.dumps(told).encode()), Log("error"))
+        self.port = await self.node.start()
+        return self
+
+    async def client(self):
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def __aexit__(self, *problem):
+        self.node.close()
+        for one in [*self.invokers, self.channel]:
+            one.server.close()
+        await asyncio.sleep(0.02)
+
+
+def played(scene):
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+def test_a_body_comes_back_byte_for_byte_and_each_request_is_passed_on_unchanged():
+    async def scene():
+        async with World([StandIn()]) as world:
+            client, body = await world.client(), bytes(range(256)) + b"\r\n"
+            assert await client.ask(frame(32, 0)) == (33, 0, 0, b"\0")
+            assert await client.ask(asked(1, body, once="ab" * 16, **{"class": "publish"})) == (17, 1, 0, b"\0" + body)
+            words, got, _ = world.invokers[0].heard[0]
+            fields = dict(part.split("=") for part in words[2].split(","))
+            limit = int(fields.pop("limit"))
+            assert fields == {"cls": "publish", "item": KEY, "nonce": "ab" * 16} and 1300 < limit <= 1500
+            assert words[1] == "9b1f03aa5c7e2d41" and got == body
+    played(scene)
+
+
+def test_noise_ends_its_connection_alone_and_what_was_open_goes_on_elsewhere():
+    async def scene():
+        bad = StandIn(lambda command, tag, body: b"@@ noise\r\n")
+        async with World([bad, StandIn()]) as world:
+            client = await world.client()
+            for n in range(1, 9):
+                assert (await client.ask(asked(n, b"x", id=f"{n:016x}", key=f"{n:016x}")))[2] == 0
+            assert bad.runs()
+    played(scene)
+
+
+def test_a_late_answer_to_an_earlier_forward_never_ends_the_next_at_the_same_invoker():
+    async def scene():
+        async def behave(command, tag, body):
+            if command != "exec":
+                return None
+            runs.append(tag)
+            return f"{tag} NONE - 0\r\n\r\n".encode() if len(runs) == 1 else f"{tag} HIT - 2\r\nok\r\n".encode()
+        runs = []
+        one = StandIn(behave)
+        async with World([one]) as world:
+            client = await world.client()
+            door = world.node.door
+            invoker = door.invoker("s-0")
+            heard = []
+            tag = "a" * 16
+            for _ in range(2):
+                done = asyncio.Event()
+                invoker.ask(tag, lambda link: link.run(tag, "call", KEY, 500, "", b""),
+                            lambda end, done=done: (heard.append(end), done.set()))
+                await asyncio.wait_for(done.wait(), 2)
+            # The second copy of the first answer finds nobody: the second run is on a connection of its own.
+            assert one.connections == 2 and [end.outcome.value for end in heard] == ["miss", "returned"]
+            client.writer.close()
+    played(scene)
+
+
+def test_a_refused_connection_proves_not_run_and_a_reset_does_not():
+    async def scene():
+        async with World([StandIn(lambda command, tag, body: "reset")]) as world:
+            invoker, ends = world.node.door.invoker("s-0"), []
+            for tag in ("a" * 16, "b" * 16):
+                done = asyncio.Event()
+                invoker.ask(tag, lambda link, tag=tag: link.run(tag, "call", KEY, 500, "", b""),
+                            lambda end, done=done: (ends.append(end.value), done.set()))
+                await asyncio.wait_for(done.wait(), 2)
+                world.invokers[0].server.close()
+            assert ends == ["reset", "unconnected"]
+    played(scene)
+
+
+def test_what_is_given_up_is_answered_at_once_with_a_time_to_come_back():
+    async def scene():
+        async with World([]) as world:
+            client, began = await world.client(), time.monotonic()
+            kind, stream, code, rest = await client.ask(asked(1))
+            assert (kind, stream, code) == (17, 1, 14) and rest.startswith(b"\x01\x05after")
+            assert time.monotonic() - began < 0.6
+    played(scene)
+
+
+def test_every_kind_of_bad_client_hears_of_it_in_time_and_is_never_served():
+    async def scene():
+        async with World([StandIn()]) as world:
+            async def told(data, rest=b""):
+                client, began = await world.client(), time.monotonic()
+                client.writer.write(data)
+                try:
+                    for n in range(0, len(rest), 65_536):
+                        client.writer.write(rest[n:n + 65_536])
+                        await client.writer.drain()
+                except ConnectionError:
+                    pass
+                got = []
+                while (answer := await asyncio.wait_for(client.answer(), 4)) is not None:
+                    got.append(answer[2])
+                assert time.monotonic() - began < 3 and 0 not in got and (got or not data), (data[:40], got)
+                return got
+            await asyncio.gather(*map(told, [
+                b"", b"\0\0\0\x20", b"GET / HTTP/1.1\r\n\r\n", (2**32 - 1).to_bytes(4, "big") + b"x" * 100,
+                asked(1)[:-3], asked(1, id=""), asked(1, wait="nan"), asked(1, **{"class": "none"}),
+                asked(1) + asked(1, id="c" * 16), asked(1) + asked(2),
+                b"".join(asked(n, id=f"{n:016x}") for n in range(1, 200))]),
+                # Its error is not lost for all that is still to be read.
+                told((60_000_000).to_bytes(4, "big"), bytes(20_000_000)))
+            assert len(world.invokers[0].runs()) <= 1
+            usual = await world.client()
+            assert (await usual.ask(asked(1)))[2] == 0
+    played(scene)
+
+
+def test_requests_taken_back_at_once_reach_nobody_and_cost_no_forward():
+    async def scene():
+        async with World([StandIn()]) as world:
+            client = await world.client()
+            client.writer.write(b"".join(asked(n, id=f"{n:016x}") + frame(18, n) for n in range(1, 300)))
+            assert (await client.ask(asked(300)))[1:3] == (300, 0)
+            assert len(world.invokers[0].runs()) == 1 and not world.node.door.ids.keys()
+    played(scene)
+
+
+def test_connections_beyond_the_bound_make_room_by_the_silent_ones():
+    async def scene():
+        async with World([StandIn()], limits={"memory_mb": 64, "sockets": 64}) as world:
+            usual = await world.client()
+            assert (await usual.ask(asked(1)))[2] == 0
+            silent = [await world.client() for _ in range(60)]
+            await asyncio.sleep(0.05)
+            assert len(world.node.door.front.all) <= world.node.door.front.most == 35
+            assert (await usual.ask(asked(2, id="c" * 16)))[2] == 0
+            for client in silent:
+                client.writer.close()
+    played(scene)
+
+
+def test_the_channel_is_asked_again_from_the_last_number_and_newcomers_inherit_nothing():
+    async def scene():
+        new = await StandIn().start()
+        old = StandIn()
+
+        def line(number, *hosts):
+            told = json.dumps(node_entry(number, *hosts, whole=False)).encode()
+            return b"id: %d\ndata: %b\n\n" % (number, told)
+        channel = ChannelStandIn()
+        async with World([old], channel) as world:
+            client = await world.client()
+            assert (await client.ask(asked(1)))[2] == 0
+            two, three = line(2, ("s-0", old.port, "removed"), ("s-1", new.port, "up")), line(3, ("s-2", 9, "draining"))
+            channel.plays = [[two, two, line(4), three[:20]], [three]]
+            world.node.channel.wire.transport.abort()
+            while world.node.door.roster.last < 3:
+                await asyncio.sleep(0.01)
+            assert channel.asked[:3] == [f"Last-Event-ID: {n}" for n in (1, 1, 2)]
+            assert (await client.ask(asked(2, id="c" * 16)))[2] == 0
+            assert len(new.runs()) == 1 and len(old.runs()) == 1 and list(world.node.door.invokers) == ["s-1"]
+        new.server.close()
+    played(scene)
+
+
+def test_a_silent_channel_is_left_for_a_new_connection():
+    async def scene():
+        channel = ChannelStandIn()
+        async with World([StandIn()], channel) as world:
+            await asyncio.sleep(0.1)
+            world.node.channel.wire.heard -= 10_000
+            while len(channel.asked) < 2:
+                await asyncio.sleep(0.02)
+    played(scene)
+
+
+def test_an_invoker_that_stops_half_way_is_noticed_before_the_time_is_up():
+    async def scene():
+        half = StandIn(lambda command, tag, body: f"{tag} HIT - 50\r\nabc".encode() if command == "exec" else None)
+        async with World([half, StandIn()]) as world:
+            client, began = await world.client(), time.monotonic()
+            for n in range(1, 5):
+                assert (await client.ask(asked(n, id=f"{n:016x}", key=f"{n:016x}", wait="1900")))[2] == 0
+            assert half.runs() and time.monotonic() - began < 1.7
+    played(scene)
+
+
+def started(tmp_path, port, **change):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(configuration(listen=f"127.0.0.1:{port}", **change)))
+    return path, subprocess.Popen([sys.executable, "-m", "sprucespool.node"], stderr=subprocess.PIPE, text=True,
+                                  env={**os.environ, "RELAY_CONFIG": str(path)})
+
+
+def test_signals_a_new_channel_by_sighup_a_broken_file_refused_and_a_graceful_end(tmp_path):
+    async def scene():
+        one = await StandIn(lambda command, tag, body: slow(tag)).start()
+        channels = [await ChannelStandIn().start() for _ in range(2)]
+        free = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = free.sockets[0].getsockname()[1]
+        free.close()
+        await free.wait_closed()
+        known = {"cursor": 1, "cmds": [node_entry(1, ("s-0", one.port, "up"))]}
+        path, process = started(tmp_path, port, channel=f"127.0.0.1:{channels[0].port}", known=known)
+        try:
+            while not channels[0].asked:
+                await asyncio.sleep(0.02)
+            path.write_text("{")
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.2)
+            path.write_text(json.dumps(configuration(listen=f"127.0.0.1:{port}", known=known,
+                                                     channel=f"127.0.0.1:{channels[1].port}")))
+            process.send_signal(signal.SIGHUP)
+            while not channels[1].asked:
+                await asyncio.sleep(0.02)
+            client = Client(*await asyncio.open_connection("127.0.0.1", port))
+            client.writer.write(asked(1))
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            late = Client(*await asyncio.open_connection("127.0.0.1", port))
+            late.writer.write(asked(1, id="c" * 16))
+            for each in (client, late):
+                got = [await asyncio.wait_for(each.answer(), 5) for _ in range(2)]
+                assert sorted(answer[0] for answer in got) == [17, 48] and any(a[:3] == (17, 1, 0) for a in got)
+            assert await asyncio.to_thread(process.wait, 5) == 0
+            said = process.stderr.read()
+            assert "new configuration refused" in said and "Traceback" not in said and "stopped" in said
+        finally:
+            process.kill()
+            process.wait()
+            process.stderr.close()
+
+    async def slow(tag):
+        await asyncio.sleep(0.5)
+        return f"{tag} HIT - 0\r\n\r\n".encode()
+    played(scene)
+
+
+def test_a_bad_start_is_one_line_and_status_2(tmp_path):
+    path = tmp_path / "bad.json"
+    path.write_text(json.dumps({"settings": {}}))
+    for env in ({}, {"RELAY_CONFIG": str(tmp_path / "none")}, {"RELAY_CONFIG": str(path)}):
+        clean = {name: value for name, value in os.environ.items() if name != "RELAY_CONFIG"}
+        got = subprocess.run([sys.executable, "-m", "sprucespool.node"], capture_output=True, text=True,
+                             env={**clean, **env}, timeout=20)
+        assert got.returncode == 2 and got.stderr.count("\n") == 1 and "RELAY_CONFIG" in got.stderr
+
+
+def test_the_controller_loads_nothing_heavy():
+    code = ("import sys, sprucespool.node.serve; print(*[name for name in ('h2', 'google.protobuf', 'typer', 'rich', "
+            "'structlog', 'ckdl', 'grpc') if name in sys.modules])")
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout.strip() == ""
