Controllers meet at loaded copies; forwards that find one do not count as own loads

Checked: loads wait for each other (0.4 s with two at a time, 1.0 s with twenty), so fewer loads are wanted, not more. Own load differs between controllers, so the least-loaded worker differs, and each loaded its own copy (`_file`, `_seek`). A newcomer counts every forward without an entry as a load, though others' copies serve most (`_load_window`). When a connection breaks with many open on it, its second reset condemned the invoker as if nothing had been heard since (`_ended`). Ruled out: memory (430 GB an invoker), time in the controller, the channel.

Now: levels in steps of 16 where controllers are several; own part of the load window over the part of bare forwards that began a load; resets of one moment are one sign.

--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -28,13 +28,13 @@
 # slower answers narrow that window, faster ones widen it, what is held longer is shed. The part of a window
 # open to work beyond a tenant's share; the least own share, in inferences.
 FIRST_WINDOW, LEAST_WINDOW, STRAINED, EASY, HELD, BEYOND, LEAST_BUCKET = 4.0, 0.1, 0.6, 0.4, 0.3, 0.5, 10.0
-# Idle times for which a model's last warm copy is held beyond its use; others' calls that keep it without. Places
-# for each invoker that a model's part of the traffic is worth. How many wait for each when half of them may load.
-RENEWALS, OTHERS_KEEP, PLACES, FEW_LOADS, QUEUED = 3.0, 2.0, 3.0, 3.0, 2.0
-# Shared orders of the invokers, for all models together; a prime for their draws.
-TURNS, PRIME = 1024, 2**61 - 1
-# The part of the cold budget used, as arrivals bunch; the time over which carried work is averaged.
-COLD_CAUTION, CARRIED_OVER = 0.4, 5000.0
+# Idle times a model's last warm copy is held beyond its use; others' calls that keep it without. Places that
+# a model's part of the traffic is worth, and how many wait when half may load, for each invoker. Steps of own
+# load within which several controllers meet. The least part of bare forwards that is taken to load.
+RENEWALS, OTHERS_KEEP, PLACES, FEW_LOADS, QUEUED, STEP, LEAST_BARE = 3.0, 2.0, 3.0, 3.0, 2.0, 16, 0.1
+# Shared orders of the invokers, for all models together; a prime for their draws. The part of the cold budget
+# used, as arrivals bunch; the time over which carried work is averaged.
+TURNS, PRIME, COLD_CAUTION, CARRIED_OVER = 1024, 2**61 - 1, 0.4, 5000.0
 
 
 class _Usual:
@@ -117,7 +117,7 @@
 
 class Controller:
     def __init__(self, deployment: Deployment, seed: int):
-        self.dep, self.seed = deployment, seed
+        self.dep, self.seed, self.step = deployment, seed, STEP if deployment.controllers > 1 else 1
         self.now, self.armed, self.counter = 0.0, math.inf, 0
         self.actions = [SetTimer(PULSE_EVERY, PULSE)] + [Subscribe(True)] * deployment.roster_asked
         self.pods, self.dues, self.rosters, self.near, self.in_flight = [], [], 0, 0, 0
@@ -127,7 +127,7 @@
         self.orders, self.arrivals = deque(), deque()
         self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
         self.loading = _Usual(max(group.slo_time for group in deployment.groups))
-        self.kinds, self.slowness, self.rates, self.even = {}, {}, {}, 0.0
+        self.kinds, self.slowness, self.rates, self.even, self.bare = {}, {}, {}, 0.0, 1.0
         self.traffic, self.traffic_at, self.memory = 0.0, 0.0, max(deployment.keep_alive, 1.0)
         self.handlers = {
             Arrived: self._arrived, Ended: self._ended, OrderSettled: self._settled, TimerDue: self._timer,
@@ -215,9 +215,7 @@
         if model.belief is None:
             self.models += 1
             turn = _salt(model.name) % TURNS
-            if turn not in self.turns:
-                self.turns[turn] = _Turns(turn)
-            model.belief = _Mdl(model, self.models, self.turns[turn])
+            model.belief = _Mdl(model, self.models, self.turns.setdefault(turn, _Turns(turn)))
             self.known[model.belief] = None
             self._look(model.belief, self.now + RENEWALS * self.dep.keep_alive)
         return model.belief
@@ -322,7 +320,7 @@
         """Where the pod stands in the index: under its own load while its window is open, or with those that
         count as the mean. Each choice beyond the queue would else go through the whole fleet."""
         kept = pod.serving and pod.work < pod.window
-        level = None if not kept else -1 if pod.new or self._cold(pod) else len(pod.out)
+        level = None if not kept else -1 if pod.new or self._cold(pod) else len(pod.out) // self.step
         if level != pod.level:
             if pod.level is not None:
                 del self.levels[pod.level][pod]
@@ -338,7 +336,7 @@
             self._file(pod)
         places, turns = self._places(mdl), self._turns(mdl)
         # In whole inferences: with little traffic the few invokers heard would else be all that is used.
-        mean, average = self.in_flight // max(1, len(self.pods)), self.levels.get(-1, {})
+        mean, average = self.in_flight // max(1, self.step * len(self.pods)), self.levels.get(-1, {})
         for level in sorted({max(level, mean) if level < 0 else level for level in self.levels}):
             held, also = self.levels.get(level, {}), average if level == mean else {}
             few = 8 * (len(held) + len(also)) < len(turns.order)
@@ -479,9 +477,10 @@
         self._forward(inf, self._least(warm)) if warm else self._finish(inf)
 
     def _load_window(self) -> float:
-        # Where traffic is thin most find others' copies: only more than chance brings is held back. What waits
-        # eases it, the more the more waits: else a fleet with idle cores sheds what it has no copies for.
-        held, own = len(self.parked), max(FEW_LOADS if self._thin() else 1.0, len(self.pods) / self.dep.controllers)
+        # Where traffic is thin most find others' copies: only more than chance brings is held back. A queue
+        # eases it, the more the longer: else a fleet with idle cores sheds what it has no copies for.
+        held, own = len(self.parked), len(self.pods) / self.dep.controllers
+        own = max(FEW_LOADS, own) if self._thin() else max(1.0, own) / max(LEAST_BARE, self.bare)
         return own + held * held / max(1.0, held + QUEUED * len(self.pods))
 
     def _load_patience(self, mdl: _Mdl) -> float:
@@ -582,7 +581,7 @@
     # Outcomes
 
     def _ended(self, event: Ended):
-        forward, outcome = event.forward, event.outcome
+        forward, outcome, now = event.forward, event.outcome, self.now
         inf, sent = forward.inference, forward.belief
         pod, mdl, mind = sent.pod, inf.model.belief, inf.belief
         del pod.out[forward]
@@ -604,11 +603,11 @@
             # Without the model there: no memory, or no place among its loads. With it: too much work.
             pod.full_until = self.now + self.usual[inf.group].mean
             self._narrow(pod, inf.group)
-        elif outcome is Outcome.UNCONNECTED or outcome is Outcome.RESET and pod.broken_at > pod.heard:
+        elif outcome is Outcome.UNCONNECTED or outcome is Outcome.RESET and now > pod.broken_at > pod.heard:
             self._doubt(pod)
             self._strike(pod)
         elif outcome is Outcome.RESET:
-            # A lost answer alone condemns neither the invoker nor its other copies; nothing heard since does.
+            # A lost answer, or a connection with all on it, condemns nobody; nothing heard since does.
             pod.broken_at = self.now
             mdl.warm.pop(pod, None)
         elif outcome in (Outcome.ERROR, Outcome.MISS) or outcome is Outcome.TIMED_OUT and not sent.cold:
@@ -635,6 +634,8 @@
         pod.new = False
         pod.carried += usual.mean
         loaded = event.found in (Found.BEGAN_LOAD, Found.AWAITED_LOAD)
+        # How often a forward without an entry loads: a newcomer must not take others' copies for own loads.
+        self.bare += 0.1 * sent.cold * ((event.found is not Found.WARM) - self.bare)
         if pod.serving:
             # A load here strikes what was believed; the finished run itself is the new entry.
             copies = mdl.warm[pod][1] if pod in mdl.warm and not loaded else 1
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -204,3 +204,42 @@
     more = sum(bool(forwards(world.arrive(f"m{n}")[1])) for n in range(6, 60))
     # A few that wait change nothing; many of them mean that idle cores would shed for want of copies.
     assert few <= 4 and more >= 12
+
+
+def test_a_connection_that_breaks_with_many_open_is_one_sign_and_the_next_one_another():
+    world = World(deployment())
+    world.roster("w0")
+    world.end(forwards(world.arrive("m")[1])[0])
+    sent = [forwards(world.arrive("m")[1]) for _ in range(3)]
+    pod = sent[0][0].invoker.belief
+    world.wait(5.0)
+    for [forward] in sent[:2]:
+        world.end(forward, it.Outcome.RESET)
+    assert not pod.suspect
+    world.wait(5.0)
+    world.end(sent[2][0], it.Outcome.RESET)
+    assert pod.suspect
+
+
+def test_forwards_that_find_others_copies_leave_room_for_more_of_them():
+    def reached(found):
+        world = World(deployment(controllers=3))
+        world.roster(*[f"w{n}" for n in range(6)])
+        for n in range(20):
+            for forward in forwards(world.arrive(f"m{n}")[1]):
+                world.end(forward, found=found)
+        return sum(bool(forwards(world.arrive(f"new{n}")[1])) for n in range(8))
+    assert reached(it.Found.BEGAN_LOAD) <= 4 and reached(it.Found.WARM) == 8
+
+
+def test_several_controllers_meet_at_the_same_copies_in_spite_of_own_load():
+    first, other = (World(deployment(controllers=3, own_number=seed), seed=seed) for seed in range(2))
+    for world in (first, other):
+        world.roster(*[f"w{n}" for n in range(6)])
+    place = forwards(first.arrive("m")[1])[0].invoker.name
+    for n in range(50):
+        [forward] = forwards(other.arrive(f"other{n}")[1])
+        if forward.invoker.name == place:
+            break
+        other.end(forward)
+    assert forward.invoker.name == place and forwards(other.arrive("m")[1])[0].invoker.name == place
