No place among an invoker's loads closes it to further loads, no longer to work

Checked: its state each two seconds. 200 to 400 inferences waited while windows on work stood at 0.1 to 2 with answers at a quarter of the SLO time; 40 to 140 forwards a second-pair came back full, nearly all of them without an entry. Fault lies in `_ended`: a load that found no place, or took too long, narrowed the window on work and shut out warm copies too. Ruled out: CPU of the controller (0.26 of a core at most), share buckets (full), suspects (one or two).

Now: a full answer to a forward without an entry closes that invoker to loads for a usual answer's time; such a time-out narrows nothing.

--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -65,8 +65,8 @@
         self.serving, self.heard, self.new, self.cold = False, now, True, 0
         self.out: dict[Forward, None] = {}
         self.suspect, self.trial_at, self.trial_gap = False, 0.0, FIRST_TRIAL
-        self.full_until = self.carried = self.rate = self.narrowed = self.strain = self.broken_at = 0.0
-        self.grant, self.granted_at, self.window = None, now, FIRST_WINDOW
+        self.full_until = self.unfit_until = self.carried = self.rate = self.narrowed = self.strain = 0.0
+        self.grant, self.granted_at, self.window, self.broken_at = None, now, FIRST_WINDOW, 0.0
 
     @property
     def work(self) -> int:
@@ -75,8 +75,7 @@
 
 
 class _Turns:
-    """An order of the invokers that all controllers share, for each model whose name falls on it. Against a
-    draw for each invoker and each model: ten thousand models asked for once would cost millions."""
+    """An order of the invokers that all controllers share, for all models that fall on it: few draws."""
 
     def __init__(self, number: int):
         self.salt, self.draws, self.order, self.ranks, self.ranked = _salt(f"turn {number}"), {}, [], {}, None
@@ -282,7 +281,7 @@
         def has_room(pod: _Pod) -> bool:
             # One that left may still have a load here until its turn to be struck comes.
             return (pod.serving and (shared or not pod.suspect) and pod.full_until <= now and pod not in past
-                    and pod.work + mind.luck < pod.window * part
+                    and pod.unfit_until <= now and pod.work + mind.luck < pod.window * part
                     and (anywhere and pod.warm_at <= now or self._may_forward(inf, pod)))
         # Those tried before only where nothing else has room.
         while True:
@@ -317,8 +316,7 @@
         return bool(inf.belief.out or inf.belief.load)
 
     def _file(self, pod: _Pod):
-        """Where the pod stands in the index: under its own load while its window is open, or with those that
-        count as the mean. Each choice beyond the queue would else go through the whole fleet."""
+        """Where the pod stands in the index: under its own load while its window is open, or as the mean."""
         kept = pod.serving and pod.work < pod.window
         level = None if not kept else -1 if pod.new or self._cold(pod) else len(pod.out) // self.step
         if level != pod.level:
@@ -595,12 +593,14 @@
                 self._over(mdl.loads[pod])
         if outcome in (Outcome.RETURNED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
             pod.heard = self.now
-        elif outcome is Outcome.TIMED_OUT:
+        elif outcome is Outcome.TIMED_OUT and not sent.cold:
             self._narrow(pod, inf.group)
         if outcome is Outcome.RETURNED:
             self._learn(inf, mdl, sent, event)
+        elif outcome is Outcome.FULL and sent.cold:
+            # No memory, or no place among its loads: neither keeps its warm copies from work.
+            pod.unfit_until = self.now + self.usual[inf.group].mean
         elif outcome is Outcome.FULL:
-            # Without the model there: no memory, or no place among its loads. With it: too much work.
             pod.full_until = self.now + self.usual[inf.group].mean
             self._narrow(pod, inf.group)
         elif outcome is Outcome.UNCONNECTED or outcome is Outcome.RESET and now > pod.broken_at > pod.heard:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -243,3 +243,17 @@
             break
         other.end(forward)
     assert forward.invoker.name == place and forwards(other.arrive("m")[1])[0].invoker.name == place
+
+
+def test_no_place_among_loads_closes_an_invoker_to_loads_alone():
+    world = World(deployment())
+    world.roster("w0")
+    [first] = forwards(world.arrive("m")[1])
+    world.wait(100.0)
+    world.end(first)
+    pod = world.invokers["w0"].belief
+    window = pod.window
+    world.end(forwards(world.arrive("new")[1])[0], it.Outcome.FULL)
+    assert not forwards(world.arrive("newer")[1])
+    # Else a flood of new models would close the warm copies beside idle cores.
+    assert forwards(world.arrive("m")[1]) and pod.window == window
