One piece opens connections for both doors; one rest of half-read bytes, one reading of addresses

Cause: a last reading of the change found the opening of connections written again for the platform's invokers (transport/pool.py had it), the same half-read buffer in frames and lines, a third reading of HOST:PORT, the words to a cut client in four places, two classes of one name for illegal moves, the configuration file read in two places, and state that nobody reads (a count of lines left out, counts of opened connections, a flag of leaving).

Change: transport/opener.py serves Pool and Invoker, relay/rest.py both codecs, links.address settings, configuration and channel; Peer.cut, Door._fail and serve._plan stand once. `_ended` reads its clock once. Behaviour and tests stay.

--- a/sprucespool/links.py
+++ b/sprucespool/links.py
@@ -1,4 +1,4 @@
-"""What a connection's protocol looks like to the socket below it: bytes in, events and bytes out."""
+"""What a connection's protocol looks like to the socket below it (bytes in, events and bytes out), and addresses."""
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -9,6 +9,19 @@
     """The peer broke the protocol or a limit: the whole connection ends, with this reason."""
 
 
+class IllegalMove(ValueError):
+    """What the protocol does not allow this end to send on the connection now."""
+
+
+def address(text: str) -> tuple[str, int]:
+    """HOST:PORT taken apart. Raises ValueError."""
+    host, colon, port = text.rpartition(":")
+    host = host.strip("[]")
+    if not colon or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"expected an address such as 127.0.0.1:7700, got {text!r}")
+    return host, int(port)
+
+
 class Link(Protocol):
     def receive(self, data: memoryview, now: float) -> list[Any]:
         """Raises LinkError when the connection is to end; `outgoing` then still has the last words for the peer."""
--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -35,14 +35,14 @@
 
 class Peer:
     """One client's connection."""
-    __slots__ = ("front", "wire", "link", "opened", "idle_since", "unread_since", "calls")
+    __slots__ = ("front", "wire", "link", "idle_since", "unread_since", "calls")
 
     def __init__(self, front: Front):
         self.front = front
         self.link = FrontLink(front.terms)
         self.wire = Wire(self.link, self._events, self._lost, self._made, HIGH_WATER)
         self.wire.linger, self.wire.on_closed = LINGER, self._closed
-        self.opened = self.idle_since = self.wire.opened
+        self.idle_since = self.wire.opened
         self.unread_since = 0.0
         # What the door holds for each open stream.
         self.calls: dict[int, object] = {}
@@ -54,9 +54,8 @@
         calls = self.front.calls
         for event in events:
             if isinstance(event, Request):
-                self.calls[event.stream] = None
                 if not calls.asked(self, event):
-                    return self.cut("an id that is in use")
+                    return self.cut("an id that is in use", self.front.pause)
             elif isinstance(event, TakenBack):
                 calls.taken_back(self, event.stream)
             elif isinstance(event, ReadyAsked):
@@ -77,15 +76,11 @@
         self.idle_since = self.front.now()
         self.wire.flush_soon()
 
-    def cut(self, why: str) -> None:
-        """End the connection with a word of error."""
-        if not self.wire.lost:
-            self.link.last_word()
-            self._soften()
-            self.wire.end(why)
-
-    def _soften(self):
-        self.wire.delay = PAUSE if self.front.roomy else 0.0
+    def cut(self, why: str, pause: float = 0.0) -> None:
+        """End the connection with a word of error, said after `pause` ms."""
+        self.link.last_word()
+        self.wire.delay = pause
+        self.wire.end(why)
 
     def look(self, now: float) -> None:
         wire, link = self.wire, self.link
@@ -95,14 +90,10 @@
             self.unread_since = now
         elif now - self.unread_since > UNREAD:
             return wire.end("a client that does not read", at_once=True)
-        if not link.frames and now - self.opened > SILENT:
-            wire.delay = 0.0
-            link.last_word()
-            wire.end("nothing whole came")
-        elif link.rest and now - link.half_since > HALF:
-            wire.delay = 0.0
-            link.last_word()
-            wire.end("half a frame")
+        if not link.frames and now - wire.opened > SILENT:
+            self.cut("nothing whole came")
+        elif link.rest.half(now) > HALF:
+            self.cut("half a frame")
         elif not self.calls and not link.rest and now - self.idle_since > IDLE:
             wire.linger = 0.0
             wire.end("idle")
@@ -128,8 +119,9 @@
         return self.loop.time() * 1000.0
 
     @property
-    def roomy(self) -> bool:
-        return 2 * len(self.all) < self.most
+    def pause(self) -> float:
+        """Before the last words to a bad client: none where descriptors run short."""
+        return PAUSE if 2 * len(self.all) < self.most else 0.0
 
     async def start(self, host: str, port: int) -> int:
         self.server = await self.loop.create_server(lambda: Peer(self).wire, host, port, backlog=self.backlog)
@@ -139,7 +131,7 @@
     def made(self, peer: Peer) -> None:
         self.accepted += 1
         self.open[peer] = self.all[peer] = None
-        peer.wire.delay = PAUSE if self.roomy else 0.0
+        peer.wire.delay = self.pause
         if len(self.all) > self.most:
             self._evict()
 
@@ -155,9 +147,8 @@
                 return
         victim = next((peer for peer in self.open if not peer.link.frames), None)
         victim = victim or next((peer for peer in self.open if not peer.calls), None) or next(iter(self.open))
-        victim.link.last_word()
-        victim.wire.delay = victim.wire.linger = 0.0
-        victim.wire.end("no room for so many connections")
+        victim.wire.linger = 0.0
+        victim.cut("no room for so many connections")
 
     def gone(self, peer: Peer, why: str) -> None:
         self.open.pop(peer, None)
@@ -175,7 +166,7 @@
             half += len(peer.link.rest)
             peer.look(now)
             if half > self.most_half and peer.link.rest:
-                peer.cut("too much is half received")
+                peer.cut("too much is half received", self.pause)
 
     def no_more(self) -> None:
         """No new connections, and no new requests on those that stand."""
--- a/sprucespool/node/door.py
+++ b/sprucespool/node/door.py
@@ -178,11 +178,8 @@
         self._answer(effect.call, "shed", lambda client: client.peer.link.shed(
             client.request.stream, effect.retry_after))
 
-    def _failed(self, effect: ms.AnswerFailed):
-        self._answer(effect.call, "failed", lambda client: client.peer.link.failed(client.request.stream))
-
-    def _rejected(self, effect: ms.Rejected):
-        self._answer(effect.call, "rejected", lambda client: client.peer.link.failed(client.request.stream))
+    def _fail(self, call: str, how: str):
+        self._answer(call, how, lambda client: client.peer.link.failed(client.request.stream))
 
     # Invokers
 
@@ -294,8 +291,7 @@
         """What is owed at the very end is failed; gives how many that were."""
         left = list(self.clients.values())
         for client in left:
-            self._answer(client.call, "failed at the end", lambda client: client.peer.link.failed(
-                client.request.stream))
+            self._fail(client.call, "failed at the end")
         return len(left)
 
     def close(self) -> None:
@@ -308,7 +304,8 @@
 
 EFFECTS: dict[type, Callable] = {
     ms.SendForward: Door._forward, ms.Recall: Door._recall, ms.AnswerReturned: Door._returned,
-    ms.AnswerShed: Door._shed, ms.AnswerFailed: Door._failed, ms.Rejected: Door._rejected,
+    ms.AnswerShed: Door._shed, ms.AnswerFailed: lambda door, effect: door._fail(effect.call, "failed"),
+    ms.Rejected: lambda door, effect: door._fail(effect.call, "rejected"),
     ms.SendOrder: Door._order, ms.SendUnload: Door._unload, ms.SendProbe: Door._probe,
     ms.CloseIdle: Door._close_idle, ms.Note: Door._note,
     ms.WakeAt: lambda door, effect: door.turn.wake_at(effect.at),
--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -1,14 +1,13 @@
 """Connections to one invoker: opened at need, spared where they are silent, closed when idle."""
 from __future__ import annotations
 
-import asyncio
-from collections import deque
 from collections.abc import Callable
 
 from sprucespool import interface as it
 from sprucespool.relay.feed import Place
 from sprucespool.relay.lines import Answer, InvokerLink
-from sprucespool.transport.plan import PoolLimits, PoolPlan, Slot
+from sprucespool.transport.opener import Opener
+from sprucespool.transport.plan import PoolLimits, Slot
 from sprucespool.transport.wire import Wire
 
 HIGH_WATER = 0
@@ -89,28 +88,31 @@
             self.invoker.place_waiting()
 
     def _lost(self, wire: Wire, why: str):
-        self.invoker.drop(self, why)
+        self.invoker.drop(self)
         asks, self.asks = list(self.asks.values()), {}
+        if asks:
+            self.invoker.told("connection lost", f"{why}, {len(asks)} open on it")
         for ask in asks:
             # What was never handed to the socket has certainly not run.
             ask.end(it.Outcome.RESET if self.link.left(ask.tag) else it.Outcome.UNCONNECTED)
 
 
-class Invoker:
+class Invoker(Opener[_Conn, Ask]):
     """All that goes to one process of an invoker at one address."""
 
     def __init__(self, place: Place, limits: PoolLimits, streams: int, seed: int,
                  told: Callable[[str, str], None]):
+        super().__init__(place.host, place.port, limits, seed)
         self.place, self.streams, self.told = place, streams, told
-        self.plan = PoolPlan(limits, seed)
-        self.loop = asyncio.get_running_loop()
-        self.conns: dict[Slot, _Conn] = {}
-        self.waiting: deque[Ask] = deque()
-        self.opening: set[asyncio.Task] = set()
-        self.closed = False
 
-    def now(self) -> float:
-        return self.loop.time() * 1000.0
+    def connection(self, slot: Slot) -> _Conn:
+        return _Conn(self, slot)
+
+    def unconnected(self, call: Ask, why: str) -> None:
+        call.end(it.Outcome.UNCONNECTED)
+
+    def not_connected(self, why: str) -> None:
+        self.told("not connected", why)
 
     def ask(self, tag: str, write: Callable[[InvokerLink], None],
             heard: Callable[[Answer | it.Outcome], None]) -> Ask:
@@ -141,7 +143,7 @@
                     self.loop.call_soon(ask.end, it.Outcome.UNCONNECTED)
                 else:
                     if opens:
-                        self._open()
+                        self.open()
                     return
             self.waiting.popleft()
 
@@ -155,53 +157,11 @@
             conn.note()
         return found
 
-    def _open(self):
-        slot = Slot()
-        self.plan.slots.append(slot)
-        task = self.loop.create_task(self._connect(slot))
-        self.opening.add(task)
-        task.add_done_callback(self.opening.discard)
-
-    async def _connect(self, slot: Slot):
-        conn = _Conn(self, slot)
-        try:
-            async with asyncio.timeout(self.plan.limits.connect_timeout / 1000.0):
-                await self.loop.create_connection(lambda: conn.wire, self.place.host, self.place.port)
-        except (OSError, TimeoutError) as problem:
-            self.plan.slots.remove(slot)
-            self.plan.backoff.failed(self.now())
-            self.told("not connected", f"{type(problem).__name__}: {problem}")
-            if not any(not other.ready for other in self.plan.slots):
-                left, self.waiting = list(self.waiting), deque()
-                for ask in left:
-                    ask.end(it.Outcome.UNCONNECTED)
-            return
-        if self.closed or conn.wire.lost:
-            if slot in self.plan.slots:
-                self.plan.slots.remove(slot)
-            conn.wire.end("closed", at_once=True)
-            return self.place_waiting()
-        self.plan.backoff.worked()
-        self.conns[slot] = conn
-        slot.ready = True
-        conn.note()
-        self.place_waiting()
-
-    def drop(self, conn: _Conn, why: str):
-        self.conns.pop(conn.slot, None)
-        if conn.slot in self.plan.slots:
-            self.plan.slots.remove(conn.slot)
-        if conn.asks:
-            self.told("connection lost", f"{why}, {len(conn.asks)} open on it")
-        if self.waiting and not self.closed:
-            self.loop.call_soon(self.place_waiting)
-
     def look(self) -> None:
         """Called now and then."""
         now = self.now()
         for conn in list(self.conns.values()):
-            half = conn.link.half_since
-            if half and now - half > HALF:
+            if conn.link.rest.half(now) > HALF:
                 conn.wire.end("an answer stopped half-way", at_once=True)
             elif conn.slot.room <= 0 and not conn.asks:
                 conn.wire.end("of no more use", at_once=conn.silent)
--- a/sprucespool/node/logs.py
+++ b/sprucespool/node/logs.py
@@ -13,7 +13,7 @@
 class Log:
     def __init__(self, level: str = "info"):
         self.least = LEVELS.index(level) if level in LEVELS else 1
-        self.second, self.lines, self.left_out = 0, 0, 0
+        self.second, self.lines = 0, 0
 
     @property
     def debugging(self) -> bool:
@@ -27,7 +27,6 @@
             self.second, self.lines = int(now), 0
         self.lines += 1
         if self.least and self.lines > MOST_A_SECOND:
-            self.left_out += 1
             return
         more = "".join(f" {name}={value}" for name, value in facts.items())
         sys.stderr.write(f"{now:.3f} {level} {event}{more}\n")
--- a/sprucespool/node/serve.py
+++ b/sprucespool/node/serve.py
@@ -17,6 +17,11 @@
 STILL_COMING, ANSWERED_BY = 700.0, 3_300.0
 
 
+def _plan(path: str) -> Configuration:
+    with open(path, "rb") as file:
+        return read(file.read())
+
+
 class Node:
     def __init__(self, path: str, plan: Configuration, log: Log):
         self.path, self.plan, self.log = path, plan, log
@@ -34,8 +39,7 @@
     def reread(self) -> None:
         """The configuration was replaced: the channel moves, all else goes on. A file that can't be used is refused."""
         try:
-            with open(self.path, "rb") as file:
-                plan = read(file.read())
+            plan = _plan(self.path)
         except (OSError, ConfigurationError) as problem:
             return self.log.error("new configuration refused", path=self.path, problem=problem)
         self.log.info("configuration read again", channel=f"{plan.channel_host}:{plan.channel_port}")
@@ -103,8 +107,7 @@
         print("expected RELAY_CONFIG to name the configuration file", file=sys.stderr)
         return 2
     try:
-        with open(path, "rb") as file:
-            plan = read(file.read())
+        plan = _plan(path)
     except OSError as problem:
         print(f"RELAY_CONFIG {path}: {problem.strerror or problem}", file=sys.stderr)
         return 2
--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -592,23 +592,23 @@
             if pod in mdl.loads and not mdl.loads[pod].ordered:
                 self._over(mdl.loads[pod])
         if outcome in (Outcome.RETURNED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
-            pod.heard = self.now
+            pod.heard = now
         elif outcome is Outcome.TIMED_OUT and not sent.cold:
             self._narrow(pod, inf.group)
         if outcome is Outcome.RETURNED:
             self._learn(inf, mdl, sent, event)
         elif outcome is Outcome.FULL and sent.cold:
             # No memory, or no place among its loads: neither keeps its warm copies from work.
-            pod.unfit_until = self.now + self.usual[inf.group].mean
+            pod.unfit_until = now + self.usual[inf.group].mean
         elif outcome is Outcome.FULL:
-            pod.full_until = self.now + self.usual[inf.group].mean
+            pod.full_until = now + self.usual[inf.group].mean
             self._narrow(pod, inf.group)
         elif outcome is Outcome.UNCONNECTED or outcome is Outcome.RESET and now > pod.broken_at > pod.heard:
             self._doubt(pod)
             self._strike(pod)
         elif outcome is Outcome.RESET:
             # A lost answer, or a connection with all on it, condemns nobody; nothing heard since does.
-            pod.broken_at = self.now
+            pod.broken_at = now
             mdl.warm.pop(pod, None)
         elif outcome in (Outcome.ERROR, Outcome.MISS) or outcome is Outcome.TIMED_OUT and not sent.cold:
             mdl.warm.pop(pod, None)
@@ -622,7 +622,7 @@
             mind.ran.append((pod, sent.at))
         if event.final:
             self._close(inf)
-        elif self.now >= mind.until:
+        elif now >= mind.until:
             self._finish(inf)
         elif outcome is Outcome.MISS and not event.load_failed and not mind.load:
             self._missed(inf, mdl, pod)
--- a/sprucespool/relay/configuration.py
+++ b/sprucespool/relay/configuration.py
@@ -10,6 +10,7 @@
 from sprucespool import interface as it
 from sprucespool.adapter.door import deployment
 from sprucespool.adapter.wire import Malformed, Settings
+from sprucespool.links import address
 
 
 class ConfigurationError(ValueError):
@@ -56,13 +57,6 @@
     return pairs
 
 
-def address(text: Any, place: str) -> tuple[str, int]:
-    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ConfigurationError(f"expected {place} as ADDRESS:PORT, got {text!r}")
-    return host, int(port)
-
-
 def _seed(value: Any) -> int:
     try:
         return int(value, 16) if isinstance(value, str) else int(value)
@@ -84,6 +78,18 @@
         if not isinstance(value, kind):
             raise ConfigurationError(f"expected {place} as {kind.__name__}, got {value!r:.60}")
         return value
+
+    def place(name: str) -> tuple[str, int]:
+        try:
+            return address(inside(told, name, str, name))
+        except ValueError as problem:
+            raise ConfigurationError(f"{name}: {problem}") from None
+
+    def limit(name: str, least: float, absent: float) -> float:
+        value = limits.get(name, absent)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not value >= least:
+            raise ConfigurationError(f"expected limits.{name} as a number of at least {least:g}, got {value!r}")
+        return float(value)
     settings = inside(told, "settings", dict, "settings")
     limits = inside(told, "limits", dict, "limits")
     known = inside(told, "known", dict, "known")
@@ -95,13 +101,6 @@
         idle, streams = pairs.number("ceilings.idleClose", 0.0), pairs.number("ceilings.streamsPerConn", 0.0)
     except Malformed as problem:
         raise ConfigurationError(f"settings: {problem}") from None
-    numbers = []
-    for name, least in (("memory_mb", 1.0), ("sockets", 32.0)):
-        value = limits.get(name, 1e9 if name == "memory_mb" else 1024)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not value >= least:
-            raise ConfigurationError(f"expected limits.{name} as a number of at least {least:g}, got {value!r}")
-        numbers.append(float(value))
-    host, port = address(told.get("listen"), "listen")
-    channel_host, channel_port = address(told.get("channel"), "channel")
-    return Configuration(str(told.get("name", "")), host, port, _seed(told.get("seed")), numbers[0], int(numbers[1]),
-                         channel_host, channel_port, cursor, commands, dep, idle or 15_000.0, int(streams) or 100)
+    return Configuration(str(told.get("name", "")), *place("listen"), _seed(told.get("seed")),
+                         limit("memory_mb", 1.0, 1e9), int(limit("sockets", 32.0, 1024.0)), *place("channel"),
+                         cursor, commands, dep, idle or 15_000.0, int(streams) or 100)
--- a/sprucespool/relay/feed.py
+++ b/sprucespool/relay/feed.py
@@ -10,7 +10,7 @@
 
 from sprucespool import interface as it
 from sprucespool.gateway import messages as ms
-from sprucespool.links import LinkError
+from sprucespool.links import LinkError, address
 
 PATH = "/cmd/next"
 LARGEST_EVENT = 8 * 1024 * 1024
@@ -169,13 +169,16 @@
         status = STATES[state]
         old = self.places.get(name)
         where = text("dial") if host.get("dial") or old is None else f"{old.host}:{old.port}"
-        address, colon, port = where.rpartition(":")
-        if not colon or not port.isdigit() or not 0 < int(port) < 65536:
-            raise EntryError(f"event {number}: expected dial as ADDRESS:PORT, got {where!r}")
+        try:
+            at, port = address(where)
+        except ValueError as problem:
+            raise EntryError(f"event {number}: dial: {problem}") from None
+        if not port:
+            raise EntryError(f"event {number}: expected dial with a port, got {where!r}")
         born, size = host.get("born_ms") or 0, host.get("share", 1)
         for what, figure in (("born_ms", born), ("share", size)):
             if not isinstance(figure, int | float) or not math.isfinite(figure):
                 raise EntryError(f"event {number}: expected {what} as a number, got {figure!r}")
         row = ms.Row(name, str(host.get("site", "")), str(host.get("class", "")), str(host.get("block", "")),
                      status.value, float(size), str(born), unix - born if born else None)
-        return row, Place(address, int(port), str(born))
+        return row, Place(at, port, str(born))
--- a/sprucespool/relay/frames.py
+++ b/sprucespool/relay/frames.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass
 
 from sprucespool import interface as it
-from sprucespool.links import LinkError
+from sprucespool.links import IllegalMove, LinkError
+from sprucespool.relay.rest import Rest
 
 HEAD, NAME_SIZE, VALUE_SIZE = 4, 1, 2
 SMALLEST, LARGEST = 5, 262_144
@@ -35,10 +36,6 @@
     """A request whose fields can't be used; the text names the field and what was expected."""
 
 
-class IllegalMove(ValueError):
-    """A frame that the protocol does not allow this end to send now."""
-
-
 @dataclass(slots=True, eq=False)
 class Request:
     """An inference as a client asks for it."""
@@ -161,42 +158,31 @@
 
     def __init__(self, terms: Terms):
         self.terms = terms
-        self.rest = bytearray()
-        # Since when a frame is half received, and how many bytes it is known to need: one that comes byte by byte
-        # must not be copied with each of them.
-        self.half_since, self.need = 0.0, HEAD
+        self.rest = Rest()
         self.open: set[int] = set()
         self.highest = self.frames = 0
         self.out: list[bytes] = []
         # Errors before the end: said even to a client that is slow to read its answers.
         self.last = b""
         self.unread = 0
-        self.leaving = False
 
     def receive(self, data: memoryview | bytes, now: float) -> list[Event]:
         """All that came whole. After an error `outgoing` has the last words; nothing of this reading counts."""
-        if self.rest:
-            self.rest += data
-            if len(self.rest) < self.need:
-                return []
-            read = bytes(self.rest)
-        else:
-            read = bytes(data)
+        read = self.rest.take(data)
+        if read is None:
+            return []
         events: list[Event] = []
-        at, size, need = 0, len(read), HEAD
+        at, size = 0, len(read)
         while size - at >= HEAD:
             length = int.from_bytes(read[at:at + HEAD], "big")
             if not SMALLEST <= length <= LARGEST:
                 raise self._bad(0, FrameError(f"expected a length of {SMALLEST} to {LARGEST}, got {length}"))
             if size - at < HEAD + length:
-                need = HEAD + length
+                self.rest.need = HEAD + length
                 break
             self._frame(read, at + HEAD, at + HEAD + length, events)
             at += HEAD + length
-        self.need = need
-        if at or not self.rest:
-            self.rest = bytearray(read[at:])
-            self.half_since = now
+        self.rest.keep(read, at, now)
         return events
 
     def _frame(self, read: bytes, at: int, end: int, events: list[Event]):
@@ -260,9 +246,7 @@
 
     def no_more(self) -> None:
         """No new request on this connection."""
-        if not self.leaving:
-            self.leaving = True
-            self._write(NO_MORE, 0, written({}))
+        self._write(NO_MORE, 0, written({}))
 
     def outgoing(self, data_too: bool = True) -> tuple[bytes, list[Event]]:
         last, self.last = self.last, b""
@@ -272,5 +256,5 @@
         return out + last, []
 
     def forget(self) -> None:
-        self.rest, self.out = bytearray(), []
+        self.rest, self.out = Rest(), []
         self.open.clear()
--- a/sprucespool/relay/lines.py
+++ b/sprucespool/relay/lines.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass, field
 
 from sprucespool import interface as it
-from sprucespool.links import LinkError
+from sprucespool.links import IllegalMove, LinkError
+from sprucespool.relay.rest import Rest
 
 LONGEST_LINE, LARGEST_BODY = 4096, 262_144
 END = b"\r\n"
@@ -34,10 +35,6 @@
     """What can't be read on an invoker's connection."""
 
 
-class IllegalMove(ValueError):
-    """A line that must not be sent on this connection now."""
-
-
 @dataclass(slots=True, eq=False)
 class Answer:
     """The end of a run, an order or a probe, under the tag it was asked with."""
@@ -74,17 +71,13 @@
     """The asking end of one connection to an invoker."""
 
     def __init__(self) -> None:
-        self.rest = bytearray()
-        # Since when an answer is half received; 0 while none is.
-        self.half_since = 0.0
+        self.rest = Rest()
         self.open: dict[str, str] = {}
         # Tags that were asked with here: a late or doubled answer must not end a later run of the same id.
         self.used: dict[str, None] = {}
         self.out: dict[str, bytes] = {}
         self.drops: list[bytes] = []
         self.skipped = 0
-        # How many bytes the half-received answer is known to need: no copy with each piece of it.
-        self.need = 0
         # What ended the reading, where good answers came before it.
         self.spoilt: LineError | None = None
 
@@ -131,22 +124,18 @@
         return b"".join(lines), []
 
     def forget(self) -> None:
-        self.rest = bytearray()
+        self.rest = Rest()
         self.open.clear()
         self.out.clear()
 
     # In
 
     def receive(self, data: memoryview | bytes, now: float) -> list[Answer]:
-        if self.rest:
-            self.rest += data
-            if len(self.rest) < self.need:
-                return []
-            read = bytes(self.rest)
-        else:
-            read = bytes(data)
+        read = self.rest.take(data)
+        if read is None:
+            return []
         answers: list[Answer] = []
-        at = self.need = 0
+        at = 0
         try:
             while at < len(read):
                 found = self._answer(read, at)
@@ -160,9 +149,7 @@
             self.spoilt = problem
             if not answers:
                 raise
-        if at or not self.rest:
-            self.half_since = now if at < len(read) else 0.0
-            self.rest = bytearray(read[at:])
+        self.rest.keep(read, at, now)
         return answers
 
     def _answer(self, read: bytes, at: int) -> tuple[Answer | None, int] | None:
@@ -181,7 +168,7 @@
         begin = stop + len(END)
         end = begin + length
         if len(read) < end + len(END):
-            self.need = end + len(END) - at
+            self.rest.need = end + len(END) - at
             if len(read) > end and read[end:end + 1] != END[:1]:
                 raise LineError("expected a line's end after the body")
             return None
--- a/sprucespool/settings/controller.py
+++ b/sprucespool/settings/controller.py
@@ -7,21 +7,13 @@
 import msgspec
 
 from sprucespool import interface as it
+from sprucespool.links import address as address
 from sprucespool.settings.kdl import Bytes, Duration
 
 EFFECTS = {effect.value: effect for effect in it.Effect}
 SCOPES = {scope.value: scope for scope in it.Scope}
 
 
-def address(text: str) -> tuple[str, int]:
-    """HOST:PORT taken apart. Raises ValueError."""
-    host, colon, port = text.rpartition(":")
-    host = host.strip("[]")
-    if not colon or not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"expected an address such as 127.0.0.1:7700, got {text!r}")
-    return host, int(port)
-
-
 def loopback(text: str) -> tuple[str, int]:
     host, port = address(text)
     try:
--- a/sprucespool/transport/__init__.py
+++ b/sprucespool/transport/__init__.py
@@ -1,4 +1,4 @@
 """TCP on `asyncio.BufferedProtocol`: buffers, back-pressure, listening, and pools of connections to invokers.
 
-The names are in the modules: `wire`, `turn` and `plan` stand alone, `listener` and `pool` bring gRPC along.
+The names are in the modules: `wire`, `turn`, `plan` and `opener` stand alone, `listener` and `pool` bring gRPC along.
 """
--- /dev/null
+++ b/sprucespool/transport/opener.py
@@ -0,0 +1,89 @@
+"""Connections to one address, opened for the calls that wait for one: the same whatever is spoken on them."""
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Generic, Protocol, TypeVar
+
+from sprucespool.transport.plan import PoolLimits, PoolPlan, Slot
+from sprucespool.transport.wire import Wire
+
+
+class Connection(Protocol):
+    """`note` brings its slot up to date."""
+    wire: Wire
+    slot: Slot
+
+    def note(self) -> None: ...
+
+
+Conn = TypeVar("Conn", bound=Connection)
+Call = TypeVar("Call")
+
+
+class Opener(Generic[Conn, Call]):
+    """To be told of a lost connection by `drop`. What waits is placed, and refused, by those who know the calls."""
+
+    def __init__(self, host: str, port: int, limits: PoolLimits, seed: int):
+        self.host, self.port = host, port
+        self.plan = PoolPlan(limits, seed)
+        self.loop = asyncio.get_running_loop()
+        self.conns: dict[Slot, Conn] = {}
+        self.waiting: deque[Call] = deque()
+        self.opening: set[asyncio.Task] = set()
+        self.closed = False
+
+    def connection(self, slot: Slot) -> Conn:
+        raise NotImplementedError
+
+    def place_waiting(self) -> None:
+        raise NotImplementedError
+
+    def unconnected(self, call: Call, why: str) -> None:
+        """No connection was had for the call: end it."""
+        raise NotImplementedError
+
+    def not_connected(self, why: str) -> None:
+        """For the log."""
+
+    def now(self) -> float:
+        return self.loop.time() * 1000.0
+
+    def open(self) -> None:
+        slot = Slot()
+        self.plan.slots.append(slot)
+        task = self.loop.create_task(self._connect(slot))
+        self.opening.add(task)
+        task.add_done_callback(self.opening.discard)
+
+    async def _connect(self, slot: Slot):
+        conn = self.connection(slot)
+        try:
+            async with asyncio.timeout(self.plan.limits.connect_timeout / 1000.0):
+                await self.loop.create_connection(lambda: conn.wire, self.host, self.port)
+        except (OSError, TimeoutError) as problem:
+            why = f"{type(problem).__name__}: {problem}"
+            self.plan.slots.remove(slot)
+            self.plan.backoff.failed(self.now())
+            self.not_connected(why)
+            if not any(not other.ready for other in self.plan.slots):
+                left, self.waiting = list(self.waiting), deque()
+                for call in left:
+                    self.unconnected(call, why)
+            return
+        if self.closed or conn.wire.lost:
+            if slot in self.plan.slots:
+                self.plan.slots.remove(slot)
+            return conn.wire.end("closed")
+        self.plan.backoff.worked()
+        self.conns[slot] = conn
+        slot.ready, slot.idle_since = True, self.now()
+        conn.note()
+        self.place_waiting()
+
+    def drop(self, conn: Conn) -> None:
+        self.conns.pop(conn.slot, None)
+        if conn.slot in self.plan.slots:
+            self.plan.slots.remove(conn.slot)
+        if self.waiting and not self.closed:
+            self.loop.call_soon(self.place_waiting)
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -1,14 +1,14 @@
 """Connections to one invoker, opened at need, closed when idle, tried again after a jittered pause."""
 from __future__ import annotations
 
-import asyncio
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from sprucespool.grpc.link import Answered, ClientLink, Drained, Event, GoingAway, Message, Ponged, Reset
 from sprucespool.grpc.status import Limits, Metadata
-from sprucespool.transport.plan import PoolLimits, PoolPlan, Slot
+from sprucespool.transport.opener import Opener
+from sprucespool.transport.plan import PoolLimits, Slot
 from sprucespool.transport.wire import Wire
 
 
@@ -116,21 +116,18 @@
             call.end(Broken(why))
 
 
-class Pool:
+class Pool(Opener[_Conn, PoolCall]):
     """All that goes to one address."""
 
     def __init__(self, host: str, port: int, limits: Limits, pool_limits: PoolLimits, seed: int):
-        self.host, self.port, self.authority = host, port, f"{host}:{port}"
-        self.limits, self.plan = limits, PoolPlan(pool_limits, seed)
-        self.loop = asyncio.get_running_loop()
-        self.conns: dict[Slot, _Conn] = {}
-        self.waiting: deque[PoolCall] = deque()
-        self.opening: set[asyncio.Task] = set()
-        self.opened = self.failed = 0
-        self.closed = False
-
-    def now(self) -> float:
-        return self.loop.time() * 1000.0
+        super().__init__(host, port, pool_limits, seed)
+        self.limits, self.authority = limits, f"{host}:{port}"
+
+    def connection(self, slot: Slot) -> _Conn:
+        return _Conn(self, slot)
+
+    def unconnected(self, call: PoolCall, why: str) -> None:
+        call.end(Unconnected(why))
 
     def call(self, path: str, metadata: Metadata, timeout: float | None, message: bytes,
              heard: Callable[[Heard], None]) -> PoolCall:
@@ -146,42 +143,10 @@
         else:
             self.waiting.append(call)
             if opens:
-                self._open()
+                self.open()
         return call
 
-    def _open(self):
-        slot = Slot()
-        self.plan.slots.append(slot)
-        task = self.loop.create_task(self._connect(slot))
-        self.opening.add(task)
-        task.add_done_callback(self.opening.discard)
-
-    async def _connect(self, slot: Slot):
-        conn = _Conn(self, slot)
-        try:
-            async with asyncio.timeout(self.plan.limits.connect_timeout / 1000.0):
-                await self.loop.create_connection(lambda: conn.wire, self.host, self.port)
-        except (OSError, TimeoutError) as problem:
-            self.failed += 1
-            self.plan.slots.remove(slot)
-            self.plan.backoff.failed(self.now())
-            if not any(not other.ready for other in self.plan.slots):
-                left, self.waiting = list(self.waiting), deque()
-                for call in left:
-                    call.end(Unconnected(f"{type(problem).__name__}: {problem}"))
-            return
-        if self.closed or conn.wire.lost:
-            if slot in self.plan.slots:
-                self.plan.slots.remove(slot)
-            return conn.wire.end("the pool is closed")
-        self.opened += 1
-        self.plan.backoff.worked()
-        self.conns[slot] = conn
-        slot.ready, slot.idle_since = True, self.now()
-        conn.note()
-        self.place_waiting()
-
-    def place_waiting(self):
+    def place_waiting(self) -> None:
         while self.waiting:
             call = self.waiting[0]
             if call.over:
@@ -192,21 +157,14 @@
             if slot is None:
                 if why:
                     self.waiting.popleft()
-                    call.end(Unconnected(why))
+                    self.unconnected(call, why)
                     continue
                 if opens:
-                    self._open()
+                    self.open()
                 return
             self.waiting.popleft()
             self.conns[slot].begin(call, now)
 
-    def drop(self, conn: _Conn):
-        self.conns.pop(conn.slot, None)
-        if conn.slot in self.plan.slots:
-            self.plan.slots.remove(conn.slot)
-        if self.waiting and not self.closed:
-            self.loop.call_soon(self.place_waiting)
-
     def look(self) -> None:
         """Called now and then: idle connections close, silent ones are asked, dead ones given up."""
         now = self.now()
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -3,7 +3,6 @@
 
 import asyncio
 from collections.abc import Callable
-
 from typing import Any
 
 from sprucespool.links import Link, LinkError
