--- a/sprucespool/adapter/door.py
+++ b/sprucespool/adapter/door.py
@@ -33,36 +33,40 @@
         effect = settings.one_of(at + "effect", EFFECTS)
         deduped = effect is it.Effect.DEDUPED
         groups.append(it.ModelGroup(
-            name=settings.text(at + "name"), slo_time=settings.number(at + "slo"),
+            name=settings.text(at + "name"), slo_time=settings.number(at + "slo", above=0.0),
             slo_per_work=settings.number(at + "aimStretch", 0.0),
-            route_timeout=settings.number(at + "deadline"), value=settings.number(at + "credit"),
+            route_timeout=settings.number(at + "deadline", above=0.0), value=settings.number(at + "credit"),
             late_value=settings.number(at + "lateWorth", 0.0), effect=effect,
             scope=settings.one_of(at + "group", SCOPES) if deduped else it.Scope.ALL,
             dedup_window=settings.number(at + "dedupWindow") if deduped else 0.0,
             streamed=settings.flag(at + "streamed", False)))
     if not groups:
         raise Malformed("expected at least one of profiles")
+    _told_once("profiles", [group.name for group in groups])
     tenants = [it.Tenant(settings.text(f"tenants.{n}.name"), settings.number(f"tenants.{n}.portion"),
                          settings.number(f"tenants.{n}.quotaRps"))
                for n in range(settings.count("tenants"))]
-    kinds = settings.names("models")
-    memory = settings.names("specifics.ramMbByKind")
+    _told_once("tenants", [tenant.name for tenant in tenants])
+    controllers, own_number = settings.whole("balancers", least=1), settings.whole("me")
+    if own_number >= controllers:
+        raise Malformed(f"expected me below balancers ({controllers}), got {own_number}")
+    asked = settings.one_of("registryMode", {"automatic": False, "subscribe": True})
+    kinds, memory = settings.names("models"), settings.numbers("specifics.ramMbByKind")
     return it.Deployment(
-        controllers=settings.whole("balancers"), own_number=settings.whole("me"),
+        controllers=controllers, own_number=own_number,
         own_zone=settings.text("myZone"), groups=groups, tenants=tenants,
         over_share_value=settings.number("overShareWorth", 1.0), tick=settings.number("tick"),
         answer_slack=settings.number("rules.answerSlack"),
         drain_grace=settings.number("rules.stopSendingWithin"),
-        cold_share=settings.number("rules.coldFrom"), warm_after=settings.number("rules.warmAfter"),
+        cold_share=settings.number("rules.coldFrom", most=1.0), warm_after=settings.number("rules.warmAfter"),
         fall_multiple=settings.number("rules.fallMultiple"), fall_window=settings.number("rules.fall"),
-        roster_asked=settings.one_of("registryMode", {"automatic": False, "subscribe": True}),
-        ask_every=settings.number("rules.askEvery", 0.0),
+        roster_asked=asked, ask_every=settings.number("rules.askEvery", None if asked else 0.0),
         may_call_off=settings.flag("ceilings.cancel"), may_probe=settings.flag("ceilings.probes"),
         may_duplicate=settings.flag("ceilings.mayDuplicate"),
         may_message=settings.flag("ceilings.peers"), may_order=settings.flag("specifics.loadControl", False),
         tells_retry_after=settings.flag("ceilings.retryAfter", False),
         longest_retry_after=settings.number("ceilings.maxRetryAfter", 0.0),
-        most_forwards=settings.whole("ceilings.mostTries"),
+        most_forwards=settings.whole("ceilings.mostTries", least=1),
         connect_timeout=settings.number("ceilings.connectTimeout"),
         keep_alive=settings.number("specifics.idleLife", 0.0),
         loads_on_miss=settings.one_of("specifics.ifCold", {"load": True, "miss": False}),
@@ -76,10 +80,15 @@
         report_fields=settings.names("feedback.fields"),
         report_meanings={name: settings.pairs.get("specifics.report" + name.upper(), "")
                          for name in ("x0", "x1")},
-        memory_mb={kind: float(size) for kind, size in zip(kinds, memory, strict=False)},
+        memory_mb=dict(zip(kinds, memory, strict=False)),
         crossing_price=settings.number("prices.crossZone", 0.0))
 
 
+def _told_once(what: str, names: list[str]):
+    if len(set(names)) < len(names):
+        raise Malformed(f"expected each of {what} under a name of its own, got {', '.join(names)}")
+
+
 class Door:
     __slots__ = ("controller", "deployment", "groups", "tenants", "tickets", "settled", "invokers", "models",
                  "numbers", "leaving")
--- a/sprucespool/adapter/wire.py
+++ b/sprucespool/adapter/wire.py
@@ -89,30 +89,43 @@
 
 
 class Settings:
-    """The path=value pairs of CONFIGURE."""
-    __slots__ = ("pairs",)
+    """The path=value pairs of CONFIGURE. Against a typo that only shows when it breaks a rule: a value out of its
+    range is refused here, whoever tells it, and one that is absent is never taken for one that can't be read."""
+    __slots__ = ("pairs", "inner")
 
     def __init__(self, pairs: dict[str, str]):
         self.pairs = pairs
+        self.inner = {path[:at] for path in pairs for at in range(len(path)) if path[at] == "."}
+
+    def _absent(self, path: str) -> bool:
+        if path in self.inner:
+            raise Malformed(f"expected {path} as one value, got an object or a list of them")
+        return path not in self.pairs
 
     def text(self, path: str) -> str:
-        if path not in self.pairs:
+        if self._absent(path):
             raise Malformed(f"expected the setting {path}")
         return self.pairs[path]
 
-    def number(self, path: str, absent: float | None = None) -> float:
-        if absent is not None and path not in self.pairs:
+    def number(self, path: str, absent: float | None = None, least: float = 0.0, most: float = math.inf,
+               above: float = -math.inf) -> float:
+        if absent is not None and self._absent(path):
             return absent
-        return _number(path, self.text(path))
+        value = _number(path, self.text(path))
+        if not least <= value <= most or value <= above:
+            bound = f"above {above:g}" if above >= least else f"of at least {least:g}"
+            bound += f" and at most {most:g}" if most < math.inf else ""
+            raise Malformed(f"expected {path} as a number {bound}, got {value:g}")
+        return value
 
-    def whole(self, path: str) -> int:
+    def whole(self, path: str, least: int = 0) -> int:
         value = self.text(path)
-        if not _DIGITS.match(value):
-            raise Malformed(f"expected {path} as a whole number, got {value!r}")
+        if not _DIGITS.match(value) or int(value) < least:
+            raise Malformed(f"expected {path} as a whole number of at least {least}, got {value!r}")
         return int(value)
 
     def flag(self, path: str, absent: bool | None = None) -> bool:
-        if absent is not None and path not in self.pairs:
+        if absent is not None and self._absent(path):
             return absent
         value = self.text(path)
         if value not in ("true", "false", "1", "0"):
@@ -126,9 +139,15 @@
         return table[value]
 
     def names(self, path: str) -> list[str]:
-        value = self.pairs.get(path)
+        value = "" if self._absent(path) else self.pairs[path]
         return value.split(",") if value else []
 
+    def numbers(self, path: str) -> list[float]:
+        figures = [_number(path, value) for value in self.names(path)]
+        if any(figure < 0.0 for figure in figures):
+            raise Malformed(f"expected {path} as numbers of at least 0, got {self.pairs[path]!r}")
+        return figures
+
     def count(self, path: str) -> int:
         return self.whole(f"{path}.count") if f"{path}.count" in self.pairs else 0
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,6 @@
 """The platform's protocol without a socket: any split of the bytes, noise, and what no client may send."""
 import json
+import re
 
 import pytest
 from hypothesis import given, settings
@@ -189,5 +190,35 @@
         read(b"{")
 
 
+@pytest.mark.parametrize("place, value, what", [
+    ("balancers", 0, "balancers as a whole number of at least 1"), ("me", 1, "me below balancers"),
+    ("tick", -4, "tick as a number of at least 0"), ("profiles.0.slo", 0, "profiles.0.slo as a number above 0"),
+    ("profiles.1.dedupWindow", -1, "profiles.1.dedupWindow"), ("profiles.1.name", "call", "each of profiles"),
+    ("rules.coldFrom", 1.5, "rules.coldFrom as a number of at least 0 and at most 1"),
+    ("rules.stopSendingWithin", "soon", "rules.stopSendingWithin as a number"),
+    ("ceilings.mostTries", 0, "ceilings.mostTries"), ("ceilings.streamsPerConn", -1, "ceilings.streamsPerConn"),
+    ("specifics.idleLife", {"ms": 1}, "specifics.idleLife as one value"),
+    ("specifics.ramMbByKind", ["much"], "specifics.ramMbByKind as a number")])
+def test_a_setting_out_of_its_range_or_of_the_wrong_kind_is_one_line_that_names_it(place, value, what):
+    # Taken silently, each of these broke a rule or the controller only later, far from its cause.
+    told = json.loads(json.dumps(SETTINGS))
+    *way, last = [int(name) if name.isdigit() else name for name in place.split(".")]
+    inner = told
+    for name in way:
+        inner = inner[name]
+    inner[last] = value
+    with pytest.raises(ConfigurationError, match=re.escape(what)) as problem:
+        read(json.dumps(configuration(settings=told)).encode())
+    assert "\n" not in str(problem.value)
+
+
+def test_a_list_of_objects_where_names_belong_is_refused_and_unknown_settings_are_passed_over():
+    with pytest.raises(ConfigurationError, match="models"):
+        read(json.dumps(configuration(settings={**SETTINGS, "models": {"std": 1}})).encode())
+    known = read(json.dumps(configuration()).encode()).deployment
+    more = read(json.dumps(configuration(settings={**SETTINGS, "novel": {"x": [1, {"y": -1}]}})).encode()).deployment
+    assert more.tick == known.tick and [group.name for group in more.groups] == ["call", "publish"]
+
+
 settings.register_profile("steady", derandomize=True, max_examples=60, deadline=None)
 settings.load_profile("steady")
