--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -413,7 +413,7 @@
     fleet = [stage.invoker(keep_alive=20_000.0) for _ in range(4)]
     invokers = [one.name for one in fleet]
     first = teach(stage, tmp_path / "first", invokers)
-    # Names, and with them places, hang on free ports: the two that hold most are the one that drains and the one left out.
+    # Names, and so places, hang on free ports: the one that drains and the one left out are those that hold most.
     most, next_most, *rest = sorted(fleet, key=lambda one: -one.worker.tally.ran)
     fleet = [most, *rest, next_most]
     invokers, ran = [one.name for one in fleet], [one.worker.tally.ran for one in fleet]
