Cold allowances unbiased from a controller's start; own few places where connections are priced

`_place` draws a favourite over all its places, so own entries lapse before the next own call and each meeting is a new connection.

Change: the mean is divided by what the same smoothing makes of a constant one.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -29,7 +29,8 @@
         may_duplicate=False, may_message=False, may_order=True, tells_retry_after=True, longest_retry_after=2000.0,
         most_forwards=3, connect_timeout=250.0, keep_alive=8000.0, loads_on_miss=True, order_timeout=10_000.0,
         order_floor=0.0, order_share=0.0, order_window=0.0, tells_found=True, tells_same_model=True,
-        valued_by_work=False, report_fields=[], report_meanings={}, memory_mb={}, crossing_price=0.0)
+        valued_by_work=False, report_fields=[], report_meanings={}, memory_mb={}, crossing_price=0.0,
+        handshake_price=0.0)
     return it.Deployment(**{**facts, **over})
 
 
--- a/sprucespool/adapter/door.py
+++ b/sprucespool/adapter/door.py
@@ -81,7 +81,8 @@
         report_meanings={name: settings.pairs.get("specifics.report" + name.upper(), "")
                          for name in ("x0", "x1")},
         memory_mb=dict(zip(kinds, memory, strict=False)),
-        crossing_price=settings.number("prices.crossZone", 0.0))
+        crossing_price=settings.number("prices.crossZone", 0.0),
+        handshake_price=settings.number("prices.handshake", 0.0))
 
 
 def _told_once(what: str, names: list[str]):
--- a/sprucespool/interface.py
+++ b/sprucespool/interface.py
@@ -117,6 +117,7 @@
     report_meanings: dict[str, str]
     memory_mb: dict[str, float]
     crossing_price: float
+    handshake_price: float
 
 
 @dataclass(slots=True, eq=False)
--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -30,8 +30,10 @@
 FIRST_WINDOW, LEAST_WINDOW, STRAINED, EASY, HELD, BEYOND, LEAST_BUCKET = 4.0, 0.1, 0.6, 0.4, 0.3, 0.5, 10.0
 # Idle times a model's last warm copy is held beyond its use; others' calls that keep it without. Places that
 # a model's part of the traffic is worth, and how many wait when half may load, for each invoker. Steps of own
-# load within which several controllers meet. The least part of bare forwards that is taken to load.
+# load within which several controllers meet. The least part of bare forwards that is taken to load. Own
+# calls within a keep-alive that hold one of a favourite's places.
 RENEWALS, OTHERS_KEEP, PLACES, FEW_LOADS, QUEUED, STEP, LEAST_BARE = 3.0, 2.0, 3.0, 3.0, 2.0, 16, 0.1
+RENEWED_BY = 2.0
 # Shared orders of the invokers, for all models together; a prime for their draws. The part of the cold budget
 # used, as arrivals bunch; the time over which carried work is averaged.
 TURNS, PRIME, COLD_CAUTION, CARRIED_OVER = 1024, 2**61 - 1, 0.4, 5000.0
@@ -62,6 +64,7 @@
         self.holds: dict[_Mdl, None] = {}
         self.level: int | None = None
         self.salt = _salt(entry.invoker.name)
+        self.own_draw = _salt(f"controller {dep.own_number}") * self.salt % PRIME
         self.serving, self.heard, self.new, self.cold = False, now, True, 0
         self.out: dict[Forward, None] = {}
         self.suspect, self.trial_at, self.trial_gap = False, 0.0, FIRST_TRIAL
@@ -126,7 +129,7 @@
         self.orders, self.arrivals = deque(), deque()
         self.usual = {group: _Usual(group.slo_time / 4) for group in deployment.groups}
         self.loading = _Usual(max(group.slo_time for group in deployment.groups))
-        self.kinds, self.slowness, self.rates, self.even, self.bare = {}, {}, {}, 0.0, 1.0
+        self.kinds, self.slowness, self.rates, self.even, self.bare, self.averaged = {}, {}, {}, 0.0, 1.0, 0.0
         self.traffic, self.traffic_at, self.memory = 0.0, 0.0, max(deployment.keep_alive, 1.0)
         self.handlers = {
             Arrived: self._arrived, Ended: self._ended, OrderSettled: self._settled, TimerDue: self._timer,
@@ -287,6 +290,11 @@
         while True:
             open_places = [pod for pod in self._turns(mdl).order[:places] if has_room(pod)] if spread else []
             if open_places:
+                if self.dep.handshake_price > 0:
+                    # Against a connection to each place, priced over hundreds of controllers: no more of them
+                    # than own calls renew, by a draw of the controller's own, the same for all models.
+                    most = math.ceil(mdl.part / RENEWED_BY)
+                    open_places = heapq.nlargest(most, open_places, key=lambda pod: pod.own_draw)
                 return self._forward(inf, self._least(open_places))
             if self._beyond(inf, mdl, warm, has_room):
                 return
@@ -763,7 +771,9 @@
         for pod in self.pods:
             if not self._cold(pod):
                 groups.setdefault((pod.kind, pod.zone), []).append(pod.rate)
-        self.rates = {group: sum(rates) / len(rates) for group, rates in groups.items()}
+        # The averages start at nothing: of a controller that began a moment ago they are that much too low.
+        self.averaged += PULSE_EVERY / CARRIED_OVER * (1.0 - self.averaged)
+        self.rates = {group: sum(rates) / len(rates) / self.averaged for group, rates in groups.items()}
         # For a kind of which none is warm in the hall: half an even part of the own traffic.
         usual = min(usual.mean for usual in self.usual.values())
         self.even = self.traffic / self.memory * usual / max(1, len(self.pods)) / 2
--- a/sprucespool/settings/controller.py
+++ b/sprucespool/settings/controller.py
@@ -106,6 +106,7 @@
     tells_found: bool = True
     tells_same_model: bool = True
     crossing_price: float = 0.0
+    handshake_price: float = 0.0
 
     def __post_init__(self):
         if not 0 < self.cold_share <= 1:
@@ -303,7 +304,8 @@
         loads_on_miss=fleet.loads_on_miss, order_timeout=orders.time_out, order_floor=orders.floor,
         order_share=orders.share, order_window=orders.window, tells_found=fleet.tells_found,
         tells_same_model=fleet.tells_same_model, valued_by_work=False, report_fields=[], report_meanings={},
-        memory_mb={}, crossing_price=fleet.crossing_price)
+        memory_mb={}, crossing_price=fleet.crossing_price,
+        handshake_price=fleet.handshake_price)
 
 
 class ModelTable:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -158,6 +158,36 @@
     assert 0 < sum(invoker in ill for invoker in sent) <= len(sent) * 0.4
 
 
+def test_a_favourite_has_few_places_for_each_controller_and_many_for_all():
+    # Against a connection to every place from each of hundreds of controllers, and entries that lapse unused.
+    everywhere, each = set(), []
+    for number in range(12):
+        world, used = World(deployment(controllers=40, own_number=number, handshake_price=0.08)), set()
+        world.roster(*[f"w{n}" for n in range(10)])
+        for n in range(60):
+            world.wait(600.0)
+            for model in ("hot", f"m{n % 3}", f"n{n % 5}"):
+                forward = forwards(world.arrive(model)[1])[0]
+                world.end(forward)
+                if model == "hot" and n >= 20:
+                    used.add(forward.invoker.name)
+        each.append(len(used))
+        everywhere |= used
+    assert max(each) <= 7 and len(everywhere) == 10, (each, everywhere)
+
+
+def test_a_controller_that_began_a_moment_ago_knows_what_warm_invokers_return():
+    # Averages that start at nothing kept replaced invokers idle while all controllers restarted.
+    world = World(deployment(controllers=40))
+    world.roster("w0")
+    for _ in range(10):
+        forward = forwards(world.arrive("m")[1])[0]
+        world.wait(100.0)
+        world.end(forward)
+    usual = world.controller.usual[world.dep.groups[0]].mean
+    assert 0.5 < world.controller.rates["std", "a"] / (usual / 100.0) < 1.5
+
+
 def test_one_own_load_does_not_hold_back_other_models_where_traffic_is_thin():
     world = World(deployment(controllers=40))
     world.roster(*[f"w{n}" for n in range(10)])
