Invokers that left are forgotten: the gateway's names and the models' lists no longer only grow

One that comes back is a newcomer, like a process started afresh.

An answer from one that left while its forward was out still returns.

--- a/sprucespool/gateway/core.py
+++ b/sprucespool/gateway/core.py
@@ -21,7 +21,7 @@
 STATUSES = {status.value: status for status in it.Status}
 NEWS = {kind.value: kind for kind in it.News}
 # Names kept before those that nobody uses are looked for: one-off models would else fill the memory.
-SWEEP_AT = 4096
+SWEEP_AT, SWEEP_INVOKERS_AT = 4096, 256
 
 
 class Decider(Protocol):
@@ -106,7 +106,9 @@
         self._dues: list[tuple[float, int, _Held | _Sent | _Ordered | None, int]] = []
         self._armed = math.inf
         self._waiting: deque[tuple[float, list[ms.Input]]] = deque()
-        self._busy, self._sweep_at = False, SWEEP_AT
+        self._busy, self._sweep_at, self._sweep_invokers_at = False, SWEEP_AT, SWEEP_INVOKERS_AT
+        # Names that the roster lists and has not withdrawn.
+        self._listed: set[str] = set()
         # What ended in the batch at hand: the module may act on an event before the one that told it of the end.
         self._ended_now: set[str] = set()
         self._late: list[_Held] = []
@@ -281,7 +283,23 @@
             invoker = self.invokers.setdefault(row.invoker, it.Invoker(row.invoker))
             entries.append(it.RosterEntry(invoker, row.zone, row.kind, row.cell, STATUSES[row.status], row.size,
                                           started))
-        events.append(it.RosterNews(NEWS[given.kind], given.version, entries))
+        kind = NEWS[given.kind]
+        if kind in (it.News.REPLACE, it.News.RESTORED):
+            self._listed.clear()
+        for entry in entries:
+            (self._listed.discard if entry.status is it.Status.GONE else self._listed.add)(entry.invoker.name)
+        events.append(it.RosterNews(kind, given.version, entries))
+        if len(self.invokers) >= self._sweep_invokers_at:
+            self._sweep_invokers({entry.invoker.name for entry in entries})
+
+    def _sweep_invokers(self, told_now: set[str]):
+        """Against a fleet whose machines are replaced for months: who left, and has nothing out, is forgotten. One
+        that comes back is a newcomer, as a process started afresh is."""
+        used = self._listed | told_now | {sent.forward.invoker.name for sent in self.sent.values()}
+        used |= {order.invoker.name for order in self.orders.values()} | {one.name for one, _ in self.probes.values()}
+        self.invokers = {name: invoker for name, invoker in self.invokers.items() if name in used}
+        self.boots = {name: boot for name, boot in self.boots.items() if name in used}
+        self._sweep_invokers_at = max(SWEEP_INVOKERS_AT, 2 * len(self.invokers))
 
     def _order_ended(self, now: float, given: ms.OrderEnded, events: list):
         ordered = self.orders.pop(given.order, None)
--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -188,6 +188,8 @@
         # In the order in which models became known, as ever: orders are few, the first ones get them.
         for mdl in sorted(pod.holds, key=lambda mdl: mdl.number):
             wanted = mdl.warm.pop(pod, (0.0, 0))[0] > self.now and mdl.asked > 1
+            # A favourite lives for months: it must not keep all that ever held it.
+            mdl.stood.pop(pod, None)
             if pod in mdl.loads:
                 self._abandon(mdl.loads[pod])
             if not wanted or mdl.loads or len(self.loads) >= self._load_window():
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -287,3 +287,15 @@
     assert not forwards(world.arrive("newer")[1])
     # Else a flood of new models would close the warm copies beside idle cores.
     assert forwards(world.arrive("m")[1]) and pod.window == window
+
+
+def test_a_favourite_keeps_nothing_of_the_invokers_that_left():
+    world = World(deployment())
+    for n in range(60):
+        world.roster(f"w{n}")
+        for _ in range(3):
+            world.wait(100.0)
+            for forward in forwards(world.arrive("hot")[1]):
+                world.end(forward)
+        world.roster(f"w{n}", status=it.Status.GONE)
+    assert len(world.models["hot"].belief.stood) <= 2
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -128,6 +128,24 @@
     assert [event.entries[0].started for event in news[1:]] == [60.0, 60.0, 295.0]
 
 
+def test_invokers_that_left_are_forgotten_but_those_listed_or_with_something_out_are_not():
+    # Machines replaced for months would else fill the memory.
+    module = Scripted(lambda events: [], forward)
+    gateway, out = started(module)
+    gateway.take(1.0, [ms.Call("c", "line", "m", 60_000.0)])
+    number = effects(ms.SendForward, out)[0].forward
+    gateway.take(2.0, [ms.Roster("update", 2, [ms.Row("a:1", status="gone")])])
+    for n in range(2000):
+        rows = [ms.Row(f"n{n}:1", boot="x"), ms.Row(f"n{n - 3}:1", boot="x", status="gone" if n >= 3 else "draining")]
+        gateway.take(3.0 + n, [ms.Roster("update", 3 + n, rows)])
+        assert len(gateway.invokers) == len(gateway.boots) <= 514
+    assert {"a:1", "b:1", "n1999:1", "n1998:1"} <= set(gateway.invokers)
+    gateway.take(3000.0, [ms.ForwardEnded(number, "returned")])
+    assert len(effects(ms.AnswerReturned, out)) == 1
+    gateway.take(3001.0, [ms.Roster("replace", 9000, [ms.Row(f"r{n}:1") for n in range(300)])])
+    assert set(gateway.invokers) >= {f"r{n}:1" for n in range(300)} and "b:1" not in gateway.invokers
+
+
 def test_unknown_groups_tenants_and_ids_in_use_are_rejected_without_the_module():
     gateway, out = started()
     gateway.take(1.0, [ms.Call("c", "none", "m", 9.0), ms.Call("d", "line", "m", 9.0, tenant="x"),
