Names that left are swept after the batch, not while it is read; one salt, one bound on numbers

Cause: a last reading of the change. gateway/core.py `_roster` swept names while inputs were still being read, so a whole roster that left out an invoker took its boot away before the module had heard of it: beliefs asked for earlier in that batch ended in KeyError at `_beliefs`, seen in a new test. `told_now` covered only names withdrawn one by one.

`Settings.number` lost `least`, which nobody passed, and `above`, which was only ever 0. The controller's salt is made once and not for each process of an invoker; `_Pod.own_draw` is derived.

--- a/sprucespool/adapter/door.py
+++ b/sprucespool/adapter/door.py
@@ -33,9 +33,9 @@
         effect = settings.one_of(at + "effect", EFFECTS)
         deduped = effect is it.Effect.DEDUPED
         groups.append(it.ModelGroup(
-            name=settings.text(at + "name"), slo_time=settings.number(at + "slo", above=0.0),
+            name=settings.text(at + "name"), slo_time=settings.number(at + "slo", positive=True),
             slo_per_work=settings.number(at + "aimStretch", 0.0),
-            route_timeout=settings.number(at + "deadline", above=0.0), value=settings.number(at + "credit"),
+            route_timeout=settings.number(at + "deadline", positive=True), value=settings.number(at + "credit"),
             late_value=settings.number(at + "lateWorth", 0.0), effect=effect,
             scope=settings.one_of(at + "group", SCOPES) if deduped else it.Scope.ALL,
             dedup_window=settings.number(at + "dedupWindow") if deduped else 0.0,
--- a/sprucespool/adapter/wire.py
+++ b/sprucespool/adapter/wire.py
@@ -107,13 +107,12 @@
             raise Malformed(f"expected the setting {path}")
         return self.pairs[path]
 
-    def number(self, path: str, absent: float | None = None, least: float = 0.0, most: float = math.inf,
-               above: float = -math.inf) -> float:
+    def number(self, path: str, absent: float | None = None, most: float = math.inf, positive: bool = False) -> float:
         if absent is not None and self._absent(path):
             return absent
         value = _number(path, self.text(path))
-        if not least <= value <= most or value <= above:
-            bound = f"above {above:g}" if above >= least else f"of at least {least:g}"
+        if not 0.0 <= value <= most or positive and not value:
+            bound = "above 0" if positive else "of at least 0"
             bound += f" and at most {most:g}" if most < math.inf else ""
             raise Malformed(f"expected {path} as a number {bound}, got {value:g}")
         return value
--- a/sprucespool/gateway/core.py
+++ b/sprucespool/gateway/core.py
@@ -151,6 +151,9 @@
             events = []
             for action in actions:
                 WRITERS[type(action)](self, now, action, events)
+        if len(self.invokers) >= self._sweep_invokers_at:
+            # Only now: until the module has heard of it, it may still name one that the batch withdraws.
+            self._sweep_invokers()
         if self._dues and self._dues[0][0] < self._armed:
             self._armed = self._dues[0][0]
             self.port(ms.WakeAt(self._armed))
@@ -289,13 +292,11 @@
         for entry in entries:
             (self._listed.discard if entry.status is it.Status.GONE else self._listed.add)(entry.invoker.name)
         events.append(it.RosterNews(kind, given.version, entries))
-        if len(self.invokers) >= self._sweep_invokers_at:
-            self._sweep_invokers({entry.invoker.name for entry in entries})
 
-    def _sweep_invokers(self, told_now: set[str]):
+    def _sweep_invokers(self):
         """Against a fleet whose machines are replaced for months: who left, and has nothing out, is forgotten. One
         that comes back is a newcomer, as a process started afresh is."""
-        used = self._listed | told_now | {sent.forward.invoker.name for sent in self.sent.values()}
+        used = self._listed | {sent.forward.invoker.name for sent in self.sent.values()}
         used |= {order.invoker.name for order in self.orders.values()} | {one.name for one, _ in self.probes.values()}
         self.invokers = {name: invoker for name, invoker in self.invokers.items() if name in used}
         self.boots = {name: boot for name, boot in self.boots.items() if name in used}
--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -17,8 +17,8 @@
 
 from sprucespool.interface import (
     Arrived, Beliefs, BeliefsAsked, CallOff, Departed, Deployment, Effect, Ended, Fail, Forward, Found,
-    Inference, Model, ModelGroup, News, Order, OrderSettled, Outcome, RosterEntry, RosterNews, Scope, SetTimer,
-    Shed, Standing, Status, Streaming, Subscribe, TimerDue, Told)
+    Inference, Model, ModelGroup, News, Order, OrderSettled, Outcome, RosterEntry, RosterNews, Scope,
+    SetTimer, Shed, Standing, Status, Streaming, Subscribe, TimerDue, Told)
 
 PULSE, DUE, PULSE_EVERY = 1, 2, 200.0
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.NOT_SENT, Outcome.MISS)
@@ -64,7 +64,6 @@
         self.holds: dict[_Mdl, None] = {}
         self.level: int | None = None
         self.salt = _salt(entry.invoker.name)
-        self.own_draw = _salt(f"controller {dep.own_number}") * self.salt % PRIME
         self.serving, self.heard, self.new, self.cold = False, now, True, 0
         self.out: dict[Forward, None] = {}
         self.suspect, self.trial_at, self.trial_gap = False, 0.0, FIRST_TRIAL
@@ -120,6 +119,7 @@
 class Controller:
     def __init__(self, deployment: Deployment, seed: int):
         self.dep, self.seed, self.step = deployment, seed, STEP if deployment.controllers > 1 else 1
+        self.salt = _salt(f"controller {deployment.own_number}")
         self.now, self.armed, self.counter = 0.0, math.inf, 0
         self.actions = [SetTimer(PULSE_EVERY, PULSE)] + [Subscribe(True)] * deployment.roster_asked
         self.pods, self.dues, self.rosters, self.near, self.in_flight = [], [], 0, 0, 0
@@ -296,7 +296,8 @@
                     # Against a connection to each place, priced over hundreds of controllers: no more of them
                     # than own calls renew, by a draw of the controller's own, the same for all models.
                     most = math.ceil(mdl.part / RENEWED_BY)
-                    open_places = heapq.nlargest(most, open_places, key=lambda pod: pod.own_draw)
+                    open_places = heapq.nlargest(
+                        most, open_places, key=lambda pod: self.salt * pod.salt % PRIME)
                 return self._forward(inf, self._least(open_places))
             if self._beyond(inf, mdl, warm, has_room):
                 return
--- a/sprucespool/settings/controller.py
+++ b/sprucespool/settings/controller.py
@@ -304,8 +304,7 @@
         loads_on_miss=fleet.loads_on_miss, order_timeout=orders.time_out, order_floor=orders.floor,
         order_share=orders.share, order_window=orders.window, tells_found=fleet.tells_found,
         tells_same_model=fleet.tells_same_model, valued_by_work=False, report_fields=[], report_meanings={},
-        memory_mb={}, crossing_price=fleet.crossing_price,
-        handshake_price=fleet.handshake_price)
+        memory_mb={}, crossing_price=fleet.crossing_price, handshake_price=fleet.handshake_price)
 
 
 class ModelTable:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -146,6 +146,20 @@
     assert set(gateway.invokers) >= {f"r{n}:1" for n in range(300)} and "b:1" not in gateway.invokers
 
 
+def test_what_the_module_still_tells_of_is_not_forgotten_within_the_batch_that_withdraws_it():
+    # Names swept while inputs are read are gone before the module has heard of it: its answer named one unknown.
+    gateway, out = started()
+    rows = [ms.Row(f"r{n}:1") for n in range(260)]
+    gateway.take(1.0, [ms.Roster("replace", 2, rows[:250])])
+    gateway.take(2.0, [ms.Call("c", "line", "m", 5000.0, lanes=1, load_time=9.0)])
+    sent = effects(ms.SendForward, out)[0]
+    gateway.take(3.0, [ms.ForwardEnded(sent.forward, "returned", "warm")])
+    others = [row for row in rows if row.invoker != sent.invoker]
+    gateway.take(4.0, [ms.BeliefsAsked(1), ms.Roster("replace", 3, others)])
+    assert [one.invoker for one in effects(ms.BeliefsGiven, out)[0].known] == [sent.invoker]
+    assert sent.invoker not in gateway.invokers and len(gateway.boots) == len(others)
+
+
 def test_unknown_groups_tenants_and_ids_in_use_are_rejected_without_the_module():
     gateway, out = started()
     gateway.take(1.0, [ms.Call("c", "none", "m", 9.0), ms.Call("d", "line", "m", 9.0, tenant="x"),
