The module may be told how many controllers share and its own part; untold nothing changes

Change: a fact Sharing(live, sharers); quotas of tenants go by sharers, the window on loads, thin traffic and held copies by live, cold allowances only shrink. Infinite sharers: no part yet.

--- a/sprucespool/gateway/core.py
+++ b/sprucespool/gateway/core.py
@@ -328,6 +328,9 @@
     def _beliefs_asked(self, now: float, given: ms.BeliefsAsked, events: list):
         events.append(it.BeliefsAsked(given.token))
 
+    def _sharing(self, now: float, given: ms.Sharing, events: list):
+        events.append(it.Sharing(given.live, given.sharers))
+
     def _woke(self, now: float, given: ms.Woke, events: list):
         self._armed = math.inf
         while self._dues and self._dues[0][0] <= now:
@@ -441,6 +444,7 @@
     ms.Call: Gateway._call, ms.Left: Gateway._left, ms.FirstResult: Gateway._first,
     ms.ForwardEnded: Gateway._forward_ended, ms.Roster: Gateway._roster, ms.OrderEnded: Gateway._order_ended,
     ms.ProbeEnded: Gateway._probe_ended, ms.PeerMessage: Gateway._peer, ms.Told: Gateway._told,
+    ms.Sharing: Gateway._sharing,
     ms.BeliefsAsked: Gateway._beliefs_asked, ms.Woke: Gateway._woke,
 }
 WRITERS: dict[type, Callable] = {
--- a/sprucespool/gateway/messages.py
+++ b/sprucespool/gateway/messages.py
@@ -109,12 +109,18 @@
     token: int
 
 
+class Sharing(_Input):
+    """Controllers that are there, and by how many what they share is to be divided here; infinite: nothing of it."""
+    live: int
+    sharers: float
+
+
 class Woke(_Input):
     """The time asked for by `WakeAt` has come."""
 
 
 Input = (Call | Left | FirstResult | ForwardEnded | Roster | OrderEnded | ProbeEnded | PeerMessage | Told
-         | BeliefsAsked | Woke)
+         | BeliefsAsked | Sharing | Woke)
 
 
 # Effects
--- a/sprucespool/interface.py
+++ b/sprucespool/interface.py
@@ -250,6 +250,14 @@
     token: int
 
 
+@dataclass(slots=True, eq=False)
+class Sharing:
+    """So many controllers are there, and what all share is to be divided by `sharers` for this one's part: infinite
+    while it may hold none of it. Told only where controllers know of each other."""
+    live: int
+    sharers: float
+
+
 # Actions (with Forward)
 
 @dataclass(slots=True, eq=False)
--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -18,7 +18,7 @@
 from sprucespool.interface import (
     Arrived, Beliefs, BeliefsAsked, CallOff, Departed, Deployment, Effect, Ended, Fail, Forward, Found,
     Inference, Model, ModelGroup, News, Order, OrderSettled, Outcome, RosterEntry, RosterNews, Scope,
-    SetTimer, Shed, Standing, Status, Streaming, Subscribe, TimerDue, Told)
+    SetTimer, Sharing, Shed, Standing, Status, Streaming, Subscribe, TimerDue, Told)
 
 PULSE, DUE, PULSE_EVERY = 1, 2, 200.0
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.NOT_SENT, Outcome.MISS)
@@ -120,6 +120,8 @@
     def __init__(self, deployment: Deployment, seed: int):
         self.dep, self.seed, self.step = deployment, seed, STEP if deployment.controllers > 1 else 1
         self.salt = _salt(f"controller {deployment.own_number}")
+        # Controllers that are there, and by how many what they share is to be divided for this one.
+        self.live, self.sharers = deployment.controllers, float(deployment.controllers)
         self.now, self.armed, self.counter = 0.0, math.inf, 0
         self.actions = [SetTimer(PULSE_EVERY, PULSE)] + [Subscribe(True)] * deployment.roster_asked
         self.pods, self.dues, self.rosters, self.near, self.in_flight = [], [], 0, 0, 0
@@ -134,7 +136,7 @@
         self.handlers = {
             Arrived: self._arrived, Ended: self._ended, OrderSettled: self._settled, TimerDue: self._timer,
             RosterNews: self._roster, Told: self._told, BeliefsAsked: self._give,
-            Departed: lambda event: self._close(event.inference),
+            Sharing: self._sharing, Departed: lambda event: self._close(event.inference),
             Streaming: lambda event: self._close(event.forward.inference, event.forward)}
 
     def handle(self, now: float, events: list) -> list:
@@ -227,7 +229,7 @@
     def _beyond_share(self, inf: Inference) -> bool:
         """Own part of the tenant's share, as a bucket of one second but of no less than some inferences, or
         chance would empty it. A repeat takes nothing, or what was shed would be shed again."""
-        part = inf.tenant.quota_per_s / self.dep.controllers if inf.tenant else 1e9
+        part = inf.tenant.quota_per_s / self.sharers if inf.tenant else 1e9
         most = max(part, LEAST_BUCKET)
         level, at = self.buckets.get(inf.tenant, (most, self.now))
         level = max(-1.0, min(most, level + part * (self.now - at) / 1000.0) - (not inf.repeat))
@@ -389,7 +391,7 @@
 
     def _thin(self) -> bool:
         """Own entries lapse before own traffic renews them: a favourite is sought in all its places."""
-        return self.dep.controllers > len(self.pods)
+        return self.live > len(self.pods)
 
     def _shared_draw(self, turns: _Turns, pod: _Pod) -> float:
         return -math.log((turns.salt * pod.salt % PRIME) / PRIME) / max(pod.entry.size, 1e-3)
@@ -488,7 +490,7 @@
     def _load_window(self) -> float:
         # Where traffic is thin most find others' copies: only more than chance brings is held back. A queue
         # eases it, the more the longer: else a fleet with idle cores sheds what it has no copies for.
-        held, own = len(self.parked), len(self.pods) / self.dep.controllers
+        held, own = len(self.parked), len(self.pods) / self.live
         own = max(FEW_LOADS, own) if self._thin() else max(1.0, own) / max(LEAST_BARE, self.bare)
         return own + held * held / max(1.0, held + QUEUED * len(self.pods))
 
@@ -520,7 +522,7 @@
         for pod in [pod for pod, (until, _) in mdl.warm.items() if until <= self.now]:
             del mdl.warm[pod]
         idle = self.now - mdl.asked_at > RENEWALS * self.dep.keep_alive
-        kept = mdl.part * (self.dep.controllers - 1) > OTHERS_KEEP
+        kept = mdl.part * (self.live - 1) > OTHERS_KEEP
         if mdl.warm and mdl.asked > 1 and not idle and not kept:
             pod, (until, _) = max(mdl.warm.items(), key=lambda item: item[1])
             if until - self.now <= 3 * PULSE_EVERY and not pod.suspect and pod not in mdl.told:
@@ -580,7 +582,8 @@
         dep = self.dep
         age = max(0.0, self.now - dep.fall_window - pod.started)
         share = dep.cold_share + (1 - dep.cold_share) * age / dep.warm_after
-        rate = COLD_CAUTION * dep.fall_multiple * share * self.rates.get((pod.kind, pod.zone), self.even)
+        rate = COLD_CAUTION * dep.fall_multiple * share * min(1.0, dep.controllers / self.sharers)
+        rate *= self.rates.get((pod.kind, pod.zone), self.even)
         if pod.grant is None:
             pod.grant = weight * self._chance() / 2**32
         most = max(weight, rate * dep.fall_window / 2)
@@ -691,6 +694,9 @@
             mdl.warm[pod], mdl.lanes = (until, max(1, event.copies)), max(mdl.lanes, event.lanes)
             self._look(mdl, until - 3 * PULSE_EVERY)
 
+    def _sharing(self, event: Sharing):
+        self.live, self.sharers = max(1, event.live), max(1.0, event.sharers)
+
     def _give(self, event: BeliefsAsked):
         born = self.now + self.dep.keep_alive
         standing = [Standing(pod.entry.invoker, mdl.model, copies, mdl.lanes, born - until,
