--- a/tests/test_group_sockets.py
+++ b/tests/test_group_sockets.py
@@ -1,4 +1,4 @@
-"""The group over sockets: processes of `sprucespool serve`, relays with faults between them, judged from their views."""
+"""The group over sockets: processes of `sprucespool serve`, faults between them, judged from the views they tell."""
 import asyncio
 import json
 import subprocess
