--- a/sprucespool/cli/main.py
+++ b/sprucespool/cli/main.py
@@ -117,6 +117,11 @@
         print(f"rule {broken.rule} at {broken.at:.0f}: {broken.what}")
     for line in result.unclean:
         print(f"unclean: {line}")
+    for one in result.invariants[:20]:
+        print(f"invariant {one.which} at {one.at:.0f}: {one.what}")
+    if result.settled is not None:
+        print(f"views equal {result.settled / 1000:.1f} s after the last fault; "
+              f"invariants broken: {len(result.invariants)}")
     print(f"rules broken: {len(result.broken)}")
 
 
@@ -146,7 +151,7 @@
         print(msgspec.json.encode(result.as_dict()).decode())
     else:
         _shown(result)
-    raise typer.Exit(1 if result.broken or result.unclean else 0)
+    raise typer.Exit(1 if result.broken or result.unclean or result.invariants else 0)
 
 
 @app.command()
--- a/sprucespool/faults.py
+++ b/sprucespool/faults.py
@@ -48,8 +48,11 @@
     """What holds between any two processes: the last rule that speaks of them, else `usual`."""
     usual: LinkState = WELL
     rules: dict[str, list[Rule]] = field(default_factory=dict)
+    # Processes that stand at the place of another name: its faults are theirs.
+    alias: dict[str, str] = field(default_factory=dict)
 
     def between(self, source: str, target: str) -> LinkState:
+        source, target = self.alias.get(source, source), self.alias.get(target, target)
         for rules in reversed(self.rules.values()):
             for rule in rules:
                 if rule.holds(source, target):
--- a/sprucespool/settings/kdl.py
+++ b/sprucespool/settings/kdl.py
@@ -196,7 +196,7 @@
 
 
 def _told(names: list[str]) -> str:
-    return ", ".join(name.replace("_", "-") for name in names) or "nothing"
+    return ", ".join(name.rstrip("_").replace("_", "-") for name in names) or "nothing"
 
 
 def _fill(cls: type[msgspec.Struct], place: _Place, args: list, properties: dict, children: list,
@@ -221,6 +221,8 @@
             raise place.error(f"{name.replace('_', '-')}: {problem}") from None
     for told, value in properties.items():
         name = told.replace("-", "_")
+        if name + "_" in plain:
+            name += "_"  # a word of Python
         if name not in plain:
             raise place.error(f"no property {told!r} here, expected one of {_told(plain)}")
         if name in given:
@@ -321,6 +323,6 @@
             kind = typing.get_args(hints[field.name])[0] if many else hints[field.name]
             words += [_written(kind, one) for one in (value if many else [value])]
         else:
-            words.append(f"{field.name.replace('_', '-')}={_written(hints[field.name], value)}")
+            words.append(f"{field.name.rstrip('_').replace('_', '-')}={_written(hints[field.name], value)}")
     text = " ".join(words)
     return text + " {\n" + "\n".join(children) + f"\n{pad}}}" if children else text
--- a/sprucespool/standin/invoker.py
+++ b/sprucespool/standin/invoker.py
@@ -71,6 +71,8 @@
     seed: int = 1
     drain_within: float = 10_000.0
     faults: list[Fault] = []
+    # The address that others know it by; None: where it listens.
+    advertise: str | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -115,7 +117,7 @@
         self.withheld: list[Finished] = []
         self.timer: asyncio.TimerHandle | None = None
         self.ended = asyncio.Event()
-        self.name = plan.listen
+        self.name = self.where = plan.listen
         self.bad_calls = 0
         self.faults: list[Fault] = []
 
@@ -126,7 +128,8 @@
     async def start(self) -> int:
         host, port = address(self.plan.listen)
         found = await self.listener.start(host, port)
-        self.name = f"{host}:{found}"
+        self.where = f"{host}:{found}"
+        self.name = self.plan.advertise or self.where
         if self.plan.library:
             self.library = Pool(*address(self.plan.library), Limits(), PoolLimits(), self.plan.seed)
         self.worker.born = now_ms()
@@ -421,7 +424,7 @@
     except OSError as problem:
         print(f"{plan.listen}: can't listen: {problem.strerror or problem}", file=sys.stderr)
         return 2
-    print(f"listening on {standin.name}", flush=True)
+    print(f"listening on {standin.where}", flush=True)
     await standin.run()
     return 0
 
--- a/sprucespool/standin/links.py
+++ b/sprucespool/standin/links.py
@@ -17,6 +17,9 @@
 
 # What a relay holds of one direction before it stops reading; how late a lost piece comes, as TCP sends it again.
 MOST_HELD, AGAIN_AFTER = 1 << 20, 200.0
+# What a cut held for longer never arrives: when it ends, such a connection is reset, as boxes on the way do that forgot
+# it. Else calls long given up would reach their invokers when the network heals, and look as if sent then.
+STALE = 400.0
 BUFFER = memoryview(bytearray(64 * 1024))
 
 
@@ -55,7 +58,8 @@
         self.waiting: deque[tuple[float, bytes]] = deque()
         self.held, self.last, self.free_at = 0, 0.0, 0.0
         self.timer: asyncio.TimerHandle | None = None
-        self.half_sent = self.paused = False
+        self.half_sent = self.paused = self.stopped = False
+        self.stale: Callable[[], None] = lambda: None
 
     def take(self, data: bytes) -> None:
         state, now = self.state(), self.loop.time() * 1000.0
@@ -79,9 +83,12 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
-        if self.writer is None or self.writer.transport is None:
+        if self.writer is None or self.writer.transport is None or self.writer.transport.is_closing():
             return
         now, cut = self.loop.time() * 1000.0, self.state().cut
+        if self.stopped and not cut and self.waiting and now - self.waiting[0][0] > STALE:
+            return self.stale()
+        self.stopped = bool(cut)
         while self.waiting and self.waiting[0][0] <= now + 0.5:
             if cut == "stopped" and not self.half_sent:
                 due, data = self.waiting[0]
@@ -114,6 +121,7 @@
         links, chance = relay.links, relay.chance
         self.there = _Pipe(lambda: links.between(self.source, relay.name), chance)
         self.back = _Pipe(lambda: links.between(relay.name, self.source), chance)
+        self.there.stale = self.back.stale = self.end
         self.near = _End(self.there, self._accepted, self._lost)
         self.far: _End | None = None
         self.opening: asyncio.Task | None = None
@@ -152,7 +160,8 @@
         if self.broken():
             return self.end()
         self.there.push()
-        self.back.push()
+        if not self.over:
+            self.back.push()
 
     def _lost(self, end: _End):
         # Last bytes first, unless they are held by a cut: a real cut hides the end of a connection as well.
--- a/sprucespool/standin/schedule.py
+++ b/sprucespool/standin/schedule.py
@@ -4,8 +4,9 @@
 import random
 from dataclasses import dataclass, field
 
+from sprucespool.faults import WELL, LinkState
 from sprucespool.standin.invoker import Fault
-from sprucespool.standin.script import Day, Machines, Trouble
+from sprucespool.standin.script import AT_LINKS, Day, Machines, Trouble
 
 AT_INVOKER = ("hang", "crawl", "pauses", "flush", "answer-lost", "half-frame", "go-away", "refuse")
 
@@ -27,6 +28,11 @@
     target: int = -1
     span: float = 0.0
     figure: float = 0.0
+    # Of a fault of links: its name, the sides it parts, and what holds between them.
+    name: str = ""
+    sides: tuple[frozenset[str], ...] = ()
+    state: LinkState = WELL
+    both: bool = True
 
 
 @dataclass(slots=True)
@@ -56,6 +62,26 @@
     return chance.sample(slots, max(1, round(share * len(slots))))
 
 
+def _link(trouble: Trouble, day: Day, name: str) -> list[Step]:
+    def named(names: str) -> frozenset[str]:
+        return frozenset().union(*(day.named(one) for one in names.split(",")))
+    if trouble.and_:
+        sides: tuple[frozenset[str], ...] = (named(trouble.between), named(trouble.and_))
+    elif "," in trouble.between:
+        sides = tuple(frozenset(day.named(one)) for one in trouble.between.split(","))
+    else:
+        alone = named(trouble.between)
+        every = frozenset().union(*(day.named(zone) for zone in day.zones)) | {"roster"}
+        sides = (alone, every - alone)
+    state = {"partition": LinkState(cut=trouble.how),
+             "link-slow": LinkState(delay=trouble.span, jitter=trouble.span / 2),
+             "link-lossy": LinkState(delay=1.0, loss=trouble.share)}[trouble.kind]
+    if trouble.way == "back":
+        sides = sides[::-1]
+    return [Step(trouble.at, "link", name=name, sides=sides, state=state, both=trouble.way == "both"),
+            Step(trouble.at + trouble.lasts, "heal", name=name)]
+
+
 def _expand(found: Schedule, trouble: Trouble, day: Day, chance: random.Random):
     kind, at, lasts, steps = trouble.kind, trouble.at, trouble.lasts, found.steps
     if kind in AT_INVOKER:
@@ -99,6 +125,18 @@
         while when < at + lasts:
             steps.append(Step(when, "stall", target, trouble.span))
             when += trouble.every
+    elif kind in AT_LINKS:
+        steps += _link(trouble, day, f"{kind} {len(steps)}")
+    elif kind == "zone-lost":
+        for name in sorted(day.named(trouble.what)):
+            number = int(name[1:])
+            what = ("kill", "restart") if name[0] == "i" else ("controller-kill", "controller-start")
+            steps += [Step(at, what[0], number), Step(at + lasts, what[1], number)]
+    elif kind == "controller-kill":
+        names = sorted(day.named(trouble.what)) if trouble.what else [f"c{chance.randrange(day.controllers)}"]
+        steps += [Step(at, "controller-kill", int(name[1:])) for name in names if name[0] == "c"]
+    elif kind == "controller-stop":
+        steps += [Step(at, "stall", int(name[1:]), lasts) for name in sorted(day.named(trouble.what)) if name[0] == "c"]
     elif kind == "controller-restart":
         target = chance.randrange(day.controllers)
         steps.append(Step(at, "controller-kill", target))
--- a/sprucespool/standin/script.py
+++ b/sprucespool/standin/script.py
@@ -3,6 +3,7 @@
 
 import msgspec
 
+from sprucespool.faults import CUTS
 from sprucespool.settings.controller import Answers, Fleet, Forwards, Group, Orders, TenantShare
 from sprucespool.settings.kdl import Bytes, Duration
 
@@ -30,10 +31,20 @@
     "stall": "a controller is held by SIGSTOP for `span` every `every`",
     "controller-restart": "a controller is killed and started again after `span`",
     "all-restart": "all controllers are killed and started again after `span`",
+    "partition": "what `between` names reaches what `and` names no more (`way`: both, there, back; `how`: silent, "
+                 "refused, reset, stopped); a comma in `between` alone parts each from each",
+    "zone-lost": "all invokers and controllers of the zone or region `what` are killed and start anew after `lasts`",
+    "controller-kill": "the controller `what`, or one of chance, is killed for good",
+    "controller-stop": "the controllers that `what` names (a zone, a region, one) are held by SIGSTOP for `lasts`",
+    "link-slow": "from `between` to `and` and back everything takes `span` longer one way",
+    "link-lossy": "`share` of what goes from `between` to `and` and back is lost and sent again",
     "give-up": "`share` of the clients leave after a part of their time",
 }
 
 
+AT_LINKS = ("partition", "link-slow", "link-lossy")
+
+
 class Machines(msgspec.Struct):
     """`count` invokers of one kind."""
     __args__ = ("kind",)
@@ -108,14 +119,51 @@
     every: Duration = 2_000.0
     batch: int = 2
     what: str = ""
+    # Names of zones, regions, controllers (c0), invokers (i0), or the roster; several with commas.
+    between: str = ""
+    and_: str = ""
+    way: str = "both"
+    how: str = "silent"
 
     def __post_init__(self):
+        if self.way not in ("both", "there", "back"):
+            raise ValueError(f"way: expected both, there or back, got {self.way!r}")
+        if self.how not in CUTS[1:]:
+            raise ValueError(f"how: expected one of {', '.join(CUTS[1:])}, got {self.how!r}")
+        if self.kind in ("partition", "link-slow", "link-lossy") and not self.between:
+            raise ValueError("expected between")
         if self.kind not in KINDS:
             raise ValueError(f"expected one of {', '.join(KINDS)}, got {self.kind!r}")
         if not 0 < self.share <= 1 or self.factor <= 0 or self.batch < 1 or self.every <= 0:
             raise ValueError("expected a share above 0 and up to 1, factor and every above 0, a batch of at least 1")
 
 
+class ZonePlace(msgspec.Struct):
+    """Which region a zone lies in."""
+    __args__ = ("zone",)
+    zone: str
+    region: str
+
+
+class Distance(msgspec.Struct):
+    """One way between two zones or regions."""
+    __args__ = ("one", "other")
+    one: str
+    other: str
+    latency: Duration
+    jitter: Duration = 0.0
+
+
+class DayGroup(msgspec.Struct):
+    """The controllers form a group, and all that talk are relayed, so that links can fail."""
+    period: Duration = 500.0
+    loan: Duration = 6_000.0
+    # What its invariants are held to.
+    alike_within: Duration = 15_000.0
+    cleared_within: Duration = 20_000.0
+    dead_within: Duration = 40_000.0
+
+
 class Drawn(msgspec.Struct):
     """Troubles drawn by chance from the seed: `count` of the kinds, anywhere in the day."""
     count: int = 3
@@ -142,6 +190,9 @@
     clients: ClientHabits = msgspec.field(default_factory=ClientHabits)
     troubles: list[Trouble] = []
     drawn: Drawn | None = None
+    group: DayGroup | None = None
+    places: list[ZonePlace] = []
+    distances: list[Distance] = []
     # What a controller that starts in the day is told: "none", "one" or "all" of the others, or its "snapshot".
     told: str = "none"
 
@@ -155,7 +206,28 @@
         if not 1 <= self.controllers <= 32 or not self.zones:
             raise ValueError("expected 1 to 32 controllers and at least one zone")
         for trouble in self.troubles:
+            if trouble.kind in AT_LINKS and self.group is None:
+                raise ValueError(f"trouble {trouble.kind}: expected a group node, which brings the links")
+            for name in filter(None, (*trouble.between.split(","), *trouble.and_.split(","))):
+                self.named(name)
+            if trouble.kind in ("zone-lost", "controller-stop") and not self.named(trouble.what):
+                raise ValueError(f"trouble {trouble.kind}: what: expected a zone, region or controller")
             if trouble.at + trouble.lasts > self.lasts:
                 raise ValueError(f"trouble {trouble.kind}: ends after the day")
             if trouble.kind == "mass-restart" and trouble.what not in {kind.kind for kind in self.machines}:
                 raise ValueError(f"trouble mass-restart: what: no machines {trouble.what!r}")
+        for distance in self.distances:
+            self.named(distance.one), self.named(distance.other)
+
+    def region_of(self, zone: str) -> str:
+        return next((place.region for place in self.places if place.zone == zone), "")
+
+    def named(self, name: str) -> set[str]:
+        """The processes that a zone, a region or a process's own name stands for. Raises ValueError."""
+        invokers = sum(machines.count for machines in self.machines)
+        every = [(f"c{n}", n) for n in range(self.controllers)] + [(f"i{n}", n) for n in range(invokers)]
+        found = {one for one, n in every if name in (one, self.zones[n % len(self.zones)],
+                                                     self.region_of(self.zones[n % len(self.zones)]))}
+        if not found and name != "roster":
+            raise ValueError(f"no zone, region, controller (c0), invoker (i0) or roster is named {name!r}")
+        return found or {name}
--- a/sprucespool/standin/stage.py
+++ b/sprucespool/standin/stage.py
@@ -15,19 +15,23 @@
 from sprucespool.emulator.library import LibraryFacts
 from sprucespool.emulator.worker import WorkerFacts
 from sprucespool.grpc.status import Limits
+from sprucespool.faults import LinkState
 from sprucespool.judge import BrokenRule, RuleFacts, Table, judge, score, seen
+from sprucespool.judge import group as group_seen
 from sprucespool.judge.rules import GroupRule
 from sprucespool.judge.score import GroupValue
 from sprucespool.settings import write
-from sprucespool.settings.controller import ControllerPlan, Learning, Log, Place, RosterSource, Source
+from sprucespool.settings.controller import ControllerPlan, GroupPlan, Learning, Log, Place, RosterSource, Seed, Source
 from sprucespool.standin.clients import ClientsPlan
 from sprucespool.standin.invoker import InvokerPlan
+from sprucespool.standin.links import Relays
 from sprucespool.standin.platform import DRAINING, GONE, LibraryService, Listed, Roster
 from sprucespool.standin.processes import Process, StageFailed
 from sprucespool.standin.schedule import Schedule, Slot, Step, schedule
 from sprucespool.standin.script import Day
 from sprucespool.standin.trace import Notes, now_ms
 from sprucespool.standin.traffic import catalog, drawn
+from sprucespool.standin.watching import Watch
 from sprucespool.transport.listener import Listener, Server
 
 Progress = Callable[[str], None]
@@ -45,10 +49,15 @@
     controllers: list[dict[str, Any]]
     # For each controller started within the day: what its first ten seconds were like.
     newcomers: list[dict[str, float]] = field(default_factory=list)
+    # Where the day has a group: what of its invariants was broken, and ms from the last fault to equal views.
+    invariants: list[group_seen.BrokenInvariant] = field(default_factory=list)
+    settled: float | None = None
 
     def as_dict(self) -> dict[str, Any]:
         return {"day": self.day, "seed": self.seed, "decider": self.decider, **self.table.as_dict(),
                 "rules_broken": len(self.broken), "broken": [f"rule {b.rule}: {b.what}" for b in self.broken[:50]],
+                "invariants_broken": [f"({b.which}) {b.what}" for b in self.invariants[:50]],
+                "settled_ms": self.settled,
                 "unclean": self.unclean, "controllers": self.controllers, "newcomers": self.newcomers}
 
 
@@ -93,6 +102,13 @@
         self.tasks: set[asyncio.Task] = set()
         self.all: list[Process] = []
         self.killed: set[Process] = set()
+        # Only where the day has a group: what stands between processes, and the watch on their views.
+        self.relays = Relays(day.seed) if day.group else None
+        self.watch = Watch() if day.group else None
+        for n, distance in enumerate(day.distances if self.relays else []):
+            assert self.relays is not None
+            self.relays.links.put(f"distance {n}", day.named(distance.one), day.named(distance.other),
+                                  LinkState(distance.latency, distance.jitter))
 
     # Invokers
 
@@ -106,8 +122,17 @@
             fleet.fall_window, fleet.loads_on_miss, habits.scales, habits.cancel_drops,
             max([group.dedup_window for group in day.model_groups] + [1000.0]))
         notes = self.folder / f"invoker-{boot}.jsonl"
+        relay, old = None, self.standing.get(slot.number)
+        if self.relays is not None:
+            # Anew in place: behind the relay that the one before it had.
+            place = next((name for name, one in self.relays.relays.items() if one.address == listen), None)
+            name = place or (f"i{slot.number}" if old is None else f"i{slot.number}+{boot}")
+            self.relays.links.alias[name] = f"i{slot.number}"
+            relay = await self.relays.before(name)
+            listen = "127.0.0.1:0"
         plan = InvokerPlan(listen, boot, facts, self.catalog, None, self.platform, str(notes), cold, habits.tells,
-                           slot.zone, slot.cell, day.seed * 100 + self.boots, 10_000.0, self.plan.faults[slot.number])
+                           slot.zone, slot.cell, day.seed * 100 + self.boots, 10_000.0, self.plan.faults[slot.number],
+                           relay.address if relay else None)
         path = self.folder / f"invoker-{boot}.json"
         path.write_bytes(msgspec.json.encode(plan))
         process = Process([sys.executable, "-m", "sprucespool.standin.invoker", str(path)],
@@ -116,7 +141,11 @@
         line = await process.started()
         if self.begin:
             process.begin(self.begin)
-        listed = Listed(line.removeprefix("listening on "), slot.zone, slot.machines.kind, slot.cell,
+        where = line.removeprefix("listening on ")
+        if relay is not None:
+            await relay.lead_to(where)
+            where = relay.address
+        listed = Listed(where, slot.zone, slot.machines.kind, slot.cell,
                         float(slot.machines.cores), boot, now_ms() if cold else now_ms() - 3.6e6)
         return _Standing(slot, process, listed, notes)
 
@@ -144,6 +173,9 @@
         standing = self.standing[number]
         self.killed.add(standing.process)
         standing.process.signal(signal.SIGKILL)
+        for relay in self.relays.relays.values() if self.relays else ():
+            if relay.address == standing.listed.address:
+                relay.shut()
         self.notes.write(seen.Died(now_ms(), standing.listed.address, standing.listed.boot))
 
     # Controllers
@@ -155,10 +187,19 @@
             sources=[Source(where) for where in (others[:1] if day.told == "one" else others)]
             if day.told != "snapshot" else [],
             snapshot=str(self.folder / f"controller-{number}.snap") if day.told == "snapshot" else None)
+        zone = day.zones[number % len(day.zones)]
+        group, source, watched = None, "", self.platform
+        if self.relays is not None and day.group is not None:
+            relays = self.relays.relays
+            seeds = [Seed(relays[f"c{n}"].address) for n in range(min(3, day.controllers))]
+            group = GroupPlan(day.name, "a mark of the stage", seeds, f"c{number}", relays[f"c{number}"].address,
+                              day.group.period, day.group.loan)
+            source, watched = self.relays.source_of(f"c{number}"), relays["roster"].address
         return ControllerPlan(
-            listen=listen, roster=RosterSource(watch=self.platform), model_groups=day.model_groups,
-            controller=Place(number, day.controllers, day.zones[number % len(day.zones)]), tenants=day.tenants,
-            learning=learning, fleet=day.fleet, forwards=day.forwards, orders=day.orders, answers=day.answers,
+            listen=listen, roster=RosterSource(watch=watched), model_groups=day.model_groups,
+            controller=Place(number, day.controllers, zone, day.region_of(zone)), tenants=day.tenants,
+            learning=learning, group=group, source=source, fleet=day.fleet, forwards=day.forwards, orders=day.orders,
+            answers=day.answers,
             log=Log(self.options.log_level, str(self.folder / f"controller-{number}.log")), seed=day.seed * 10 + number,
             stop_within=6_000.0,
             record=str(self.folder / f"controller-{number}.inputs") if self.options.record else None)
@@ -172,6 +213,10 @@
         process = self.controllers[number] = Process(command, self.folder / f"controller-{number}.err")
         self.all.append(process)
         where = (await process.started()).removeprefix("listening on ")
+        if self.relays is not None and self.watch is not None:
+            await self.relays.relays[f"c{number}"].lead_to(where)
+            self.watch.note(group_seen.Began(now_ms(), f"c{number}"))
+            self.watch.add(f"c{number}", where)
         if self.begin:
             self.joined.append((number, now_ms()))
         return where
@@ -180,8 +225,14 @@
         process = self.controllers[number]
         at = now_ms()
         process.signal(signal.SIGSTOP)
+        if self.watch is not None:
+            self.watch.quiet.add(f"c{number}")
+        self._faulted()
         await asyncio.sleep(span / 1000.0)
         process.signal(signal.SIGCONT)
+        if self.watch is not None:
+            self.watch.quiet.discard(f"c{number}")
+        self._faulted()
         self.notes.write(seen.Stalled(at, number, now_ms()))
 
     # The day
@@ -213,12 +264,46 @@
         elif step.what == "controller-kill":
             self.killed.add(self.controllers[step.target])
             self.controllers[step.target].signal(signal.SIGKILL)
+            if self.relays is not None and self.watch is not None:
+                self.relays.relays[f"c{step.target}"].shut()
+                self.watch.drop(f"c{step.target}")
+                self.watch.note(group_seen.Ended(now_ms(), f"c{step.target}", "killed"))
             self.notes.write(seen.Killed(now_ms(), step.target))
         elif step.what == "controller-start":
             self._task(self._start_controller(step.target, self.addresses[step.target]))
+        elif step.what in ("link", "heal"):
+            self._link(step)
         else:
             raise StageFailed(f"no such step: {step.what}")
 
+    def _link(self, step: Step):
+        assert self.relays is not None
+        links = self.relays.links
+        if step.what == "heal":
+            links.heal(step.name)
+        elif len(step.sides) > 2:
+            links.part(step.name, step.sides, step.state.cut)
+        else:
+            one, other = step.sides
+            links.put(step.name, one, other, step.state, step.both)
+        self.relays.changed()
+        self._faulted()
+
+    def _faulted(self):
+        """What of it concerns the group, for its judge: clean parts by their sides, all else as uneven."""
+        if self.relays is None or self.watch is None:
+            return
+        rules = {name: rules for name, rules in self.relays.links.rules.items() if not name.startswith("distance")}
+        every = {f"c{n}" for n in range(self.day.controllers)}
+        sides: list[list[str]] = []
+        for one in rules.values():
+            told = [side for rule in one for side in (rule.sources, rule.targets) if side is not None]
+            parts = {frozenset(every & side) for side in told}
+            clean = all(rule.state.cut for rule in one) and len(one) == len(parts) * (len(parts) - 1)
+            if len(rules) == 1 and clean and set().union(*parts) == every and sum(map(len, parts)) == len(every):
+                sides = [sorted(part) for part in parts]
+        self.watch.note(group_seen.Faulted(now_ms(), sides, sorted(self.watch.quiet), bool(rules) and not sides))
+
     async def _noticed(self, standing: _Standing):
         """The roster finds a dead process gone after a moment, if nothing new stands there by then."""
         await asyncio.sleep(0.5)
@@ -240,6 +325,10 @@
         try:
             port = await self.listener.start("127.0.0.1", 0)
             self.platform = f"127.0.0.1:{port}"
+            if self.relays is not None:
+                await (await self.relays.before("roster")).lead_to(self.platform)
+                for number in range(day.controllers):
+                    await self.relays.before(f"c{number}")
             found = await asyncio.gather(*(self._start_invoker(slot, "127.0.0.1:0", False) for slot in self.plan.slots))
             for standing in found:
                 self.standing[standing.slot.number] = standing
@@ -248,6 +337,8 @@
             self.addresses = list(await asyncio.gather(*(self._start_controller(number, "127.0.0.1:0")
                                                          for number in range(day.controllers))))
             await asyncio.sleep(0.3)
+            if self.watch is not None:
+                self.watch.start()
             self.begin = now_ms() + 1_500.0
             for standing in found:
                 standing.process.begin(self.begin)
@@ -269,9 +360,14 @@
                 self.unclean.append(f"the clients did not end: {clients.last_words()}")
             while self.tasks:
                 await asyncio.wait(self.tasks, timeout=20.0)
+            verdict = self._group_verdict()
             await self._end_all()
-            return self._result()
+            return self._result(verdict)
         finally:
+            if self.watch is not None:
+                self.watch.stop()
+            if self.relays is not None:
+                await self.relays.close()
             for task in self.tasks:
                 task.cancel()
             for process in self.all:
@@ -293,7 +389,7 @@
             process.signal(signal.SIGTERM)
         for number, process in self.controllers.items():
             code = await process.ended(8.0)
-            if code != 0:
+            if code != 0 and process not in self.killed:
                 self.unclean.append(f"controller {number} ended with {code}: {process.last_words()}")
         for standing in self.standing.values():
             standing.process.signal(signal.SIGTERM)
@@ -303,7 +399,16 @@
                 self.unclean.append(f"invoker {standing.listed.boot} ended with {code}: "
                                     f"{standing.process.last_words()}")
 
-    def _result(self) -> Result:
+    def _group_verdict(self) -> group_seen.Verdict | None:
+        if self.watch is None or self.day.group is None:
+            return None
+        self.watch.stop()
+        (self.folder / "views.json").write_bytes(msgspec.json.encode(self.watch.noted))
+        told = self.day.group
+        return group_seen.check(self.watch.noted, group_seen.Bounds(
+            told.alike_within, told.cleared_within, told.dead_within), now_ms())
+
+    def _result(self, verdict: group_seen.Verdict | None) -> Result:
         found: list[seen.Seen] = []
         for path in sorted(self.folder.glob("*.jsonl")):
             with open(path, "rb") as lines:
@@ -313,7 +418,8 @@
         stops = [msgspec.json.decode(process.rest.removeprefix("stopped ")) for process in self.controllers.values()
                  if process.rest.startswith("stopped ")]
         return Result(day.name, day.seed, self.options.decider, table, judge(found, facts(day)), self.unclean, stops,
-                      [self._newcomer(found, number, at) for number, at in self.joined])
+                      [self._newcomer(found, number, at) for number, at in self.joined],
+                      verdict.broken if verdict else [], verdict.settled if verdict else None)
 
     def _newcomer(self, found: list[seen.Seen], number: int, at: float, span: float = 30_000.0) -> dict[str, float]:
         """A started controller's first seconds: first tries sent to it and returned in SLO time, the fleet's loads."""
--- a/tests/test_group_sockets.py
+++ b/tests/test_group_sockets.py
@@ -208,3 +208,27 @@
 @pytest.mark.parametrize("which", CASES)
 def test_a_build_without_what_an_invariant_rests_on_is_told(broken, which):
     assert which in {one.which for one in broken[which].broken}
+
+
+def test_without_a_group_node_and_on_the_operators_platform_nothing_is_said(tmp_path):
+    """What the platform's door loads has no way to talk to another controller; the gRPC door has no such method."""
+    loaded = subprocess.run([sys.executable, "-c", "import sprucespool.node.serve, sys; print(*sys.modules)"],
+                            capture_output=True, text=True, check=True).stdout.split()
+    assert "sprucespool.node.serve" in loaded
+    assert not [name for name in loaded if name.startswith(("sprucespool.membership", "sprucespool.daemon"))]
+
+    async def script(rig, names):
+        from sprucespool.cli.asking import Unreachable
+        from sprucespool.standin.processes import Process
+        host, port = rig.relays.relays[names[0]].target
+        before = rig.watch.newest[names[0]].digest
+        path = tmp_path / "alone.kdl"
+        path.write_text('listen "127.0.0.1:0"\nroster file="invokers.kdl"\n'
+                        'model-group "line" slo-time="600ms" route-timeout="2500ms"\ncontroller number=0 of=3\n')
+        alone = Process([sys.executable, "-m", "sprucespool.cli.main", "serve", str(path)], tmp_path / "alone.err")
+        rig.all.append(alone)
+        where = (await alone.started()).removeprefix("listening on ")
+        with pytest.raises(Unreachable, match="UNIMPLEMENTED"):
+            await fetch(where)
+        assert rig.watch.newest[names[0]].digest == before and (host, port)
+    assert played(tmp_path, script, 3).broken == []
