Doubts last three periods at least: a small group's halves took each other's side for dead

The other sides tell of its death, several accusers make the doubt the shortest (2.1 periods at 16), the refutation came later over connections just made anew. Change: a floor of three periods; what counts as many coming at once goes by the group's size.

--- a/sprucespool/membership/group.py
+++ b/sprucespool/membership/group.py
@@ -33,6 +33,8 @@
     # Periods of suspicion: this many, and as many again for each so many doublings of the group.
     patience: float = 0.8
     patience_a_doubling: float = 0.3
+    # A small group too needs time to carry a doubt to the accused and the answer back.
+    least_patience: float = 3.0
     # How much longer suspicion takes that nobody confirms.
     unconfirmed: float = 4.0
     # How often news is told, for each doubling of the group.
@@ -155,7 +157,8 @@
 
     def _least(self) -> float:
         limits = self.limits
-        return limits.period * (limits.patience + limits.patience_a_doubling * self._doublings())
+        grown = limits.patience + limits.patience_a_doubling * self._doublings()
+        return limits.period * max(limits.least_patience, grown)
 
     def _next_number(self) -> int:
         self._number += 1
@@ -474,7 +477,7 @@
         limits = self.limits
         self._heat = 1.0 + self._heat * math.exp((self._heat_at - now) / limits.period)
         self._heat_at = now
-        if self._heat > 8:
+        if self._heat > min(8.0, 2.0 + len(self.book.present) / 8):
             # Many at once: others miss them too, and repair evens that out faster than news alone.
             if not self._quick():
                 self._next_repair = min(self._next_repair, now + limits.quick * limits.period)
