A leaver's slot is cut for all its heirs, not lent whole to the first; more cases over sockets

Seen: with three controllers the first that asked got the whole slot of the leaver, as the count left out the leaver itself; found by the new test of lent parts over sockets. Added: a liar, all started anew with one good seed, a process at a tenth of a core, lent parts, nothing said without a group node; long ways of chance through both models; the module's test of a part of nothing.

--- a/sprucespool/membership/group.py
+++ b/sprucespool/membership/group.py
@@ -643,7 +643,7 @@
         sender, back = message.sender, (message.sender.name, message.sender.start)
         number = sender.about.number
         if message.kind == "lend":
-            part = self.shares.lend(len(self.book.present))
+            part = self.shares.lend(len(self.book.present) + 1)
             return [self._say(sender.address, "lent", back, message.number, figure=part)] if part else []
         if message.kind == "lent":
             self.shares.lent(now, message.number, number, sender.start, message.figure)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -299,3 +299,27 @@
                 world.end(forward)
         world.roster(f"w{n}", status=it.Status.GONE)
     assert len(world.models["hot"].belief.stood) <= 2
+
+
+def test_a_controller_told_to_hold_no_part_sends_cold_invokers_nothing_and_no_tenant_is_within_its_share():
+    """Another process may still use its part: both together would be more than the whole."""
+    def played(*told):
+        tenant = it.Tenant("t", 1.0, 1000.0)
+        world, cold = World(deployment(tenants=[tenant], controllers=3)), 0
+        world.roster("w0")
+        for _ in range(100):
+            world.tell(*told)
+            for forward in forwards(world.arrive("m", tenant=tenant)[1]):
+                world.wait(50.0)
+                world.end(forward)
+        world.roster("new", started=world.now)
+        for n in range(300):
+            sent = forwards(world.tell(*told)) + forwards(world.arrive(f"x{n % 40}", tenant=tenant)[1])
+            cold += sum(forward.invoker.name == "new" for forward in sent)
+            world.wait(20.0)
+            for forward in list(world.out)[:2]:
+                world.end(forward)
+        return cold, world.arrive("m", tenant=tenant)[0].belief.cheap
+    assert played(it.Sharing(3, float("inf"))) == (0, True)
+    cold, cheap = played()
+    assert cold > 0 and not cheap
--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -2,6 +2,8 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from sprucespool.emulator.explore import explore
 from sprucespool.emulator.models import GroupWorld, SharesWorld, of_kind
@@ -21,6 +23,26 @@
     assert found.whole and found.states > least and found.wrong == "", found
 
 
+@settings(max_examples=150, deadline=None, derandomize=True, database=None)
+@given(st.integers(2, 4), st.lists(st.integers(0, 10_000), max_size=30))
+def test_long_ways_of_chance_come_to_nothing_wrong_either(members, picks):
+    world = GroupWorld(members, told=6)
+    for pick in picks:
+        moves = list(world.moves())
+        world.play(moves[pick % len(moves)])
+    assert world.wrong() == ""
+
+
+@settings(max_examples=300, deadline=None, derandomize=True, database=None)
+@given(st.integers(2, 4), st.lists(st.integers(0, 10_000), max_size=40))
+def test_parts_stay_within_the_whole_on_long_ways_of_chance(of, picks):
+    world = SharesWorld(of, steps=12)
+    for pick in picks:
+        moves = list(world.moves())
+        world.play(moves[pick % len(moves)])
+        assert world.wrong() == ""
+
+
 class Mute(Group):
     def _about_me(self, now, row, teller):
         return False
--- a/tests/test_group_sockets.py
+++ b/tests/test_group_sockets.py
@@ -1,6 +1,7 @@
 """The group over sockets: processes of `sprucespool serve`, faults between them, judged from the views they tell."""
 import asyncio
 import json
+import signal
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
@@ -10,6 +11,7 @@
 from sprucespool.cli.members import differences, fetch
 from sprucespool.faults import LinkState
 from sprucespool.judge import group as seen
+from sprucespool.settings.controller import Place
 from sprucespool.standin.rig import Rig
 
 SILENT = LinkState(cut="silent")
@@ -18,11 +20,15 @@
 LONG = 120.0
 
 
-def played(folder, script, count=8, **over):
+def seen_place(number):
+    return Place(number, number + 1, "z1")
+
+
+def played(folder, script, count=8, of=0, **over):
     """Run `script(rig, names)` on a started group and give its verdict."""
     async def play():
         async with Rig(folder, **over) as rig:
-            names = await rig.start_all(count, zones=2 if count < 8 else 3)
+            names = await rig.start_all(count, zones=2 if count < 8 else 3, of=of)
             assert await rig.until(rig.alike, LONG) is not None, "the group did not find itself"
             await script(rig, names)
             verdict = rig.verdict(BOUNDS)
@@ -79,7 +85,31 @@
     assert played(tmp_path, script, 6).broken == []
 
 
-@pytest.mark.parametrize("what", ["deaf", "mute", "flap", "mixed"])
+def test_all_started_anew_at_once_with_seeds_of_which_one_is_good(tmp_path):
+    async def script(rig, names):
+        for name in names:
+            rig.kill(name)
+        # A wrong one, one that stays dead, a good one.
+        seeds = ["127.0.0.1:1", rig.relays.relays[names[0]].address, rig.relays.relays[names[1]].address]
+        await asyncio.gather(*(rig.start(name, seeds=seeds) for name in names[1:]))
+        assert await rig.until(rig.alike, LONG) is not None
+    assert played(tmp_path, script, 6).broken == []
+
+
+def test_a_liar_is_named_and_kills_nobody(tmp_path):
+    async def script(rig, names):
+        rig.deciders["liar"] = "group-liar"
+        await rig.start("liar", seen_place(len(names)))
+        assert await rig.until(lambda: any("distrusted" in (rig.folder / f"{name}.log").read_text()
+                                           and "an incarnation that leaps" in (rig.folder / f"{name}.log").read_text()
+                                           for name in names), LONG) is not None
+        rig.kill("liar")
+        assert await rig.until(rig.alike, LONG) is not None
+    verdict = played(tmp_path, script, 8, of=9)
+    assert verdict.broken == []
+
+
+@pytest.mark.parametrize("what", ["deaf", "mute", "flap", "mixed", "slow"])
 def test_bad_links_end_and_all_see_the_same(tmp_path, what):
     async def script(rig, names):
         if what == "deaf":
@@ -91,6 +121,12 @@
             rig.fault("reset", [names[2]], [names[3]], LinkState(cut="reset"))
             rig.fault("refused", [names[4]], [names[5]], LinkState(cut="refused"))
             rig.fault("stopped", [names[6]], [names[7]], LinkState(cut="stopped"))
+        for _ in range(30 if what == "slow" else 0):
+            # A tenth of a core: 20 ms on, 180 ms off.
+            rig.processes[names[3]].signal(signal.SIGSTOP)
+            await asyncio.sleep(0.18)
+            rig.processes[names[3]].signal(signal.SIGCONT)
+            await asyncio.sleep(0.02)
         for n in range(6):
             if what == "flap" and n % 2 == 0:
                 rig.fault("flap", [names[3]], names[4:6], SILENT)
@@ -232,3 +268,21 @@
             await fetch(where)
         assert rig.watch.newest[names[0]].digest == before and (host, port)
     assert played(tmp_path, script, 3).broken == []
+
+
+def test_the_part_of_one_that_left_is_lent_for_a_while_and_never_more_than_the_whole(tmp_path):
+    async def script(rig, names):
+        whole = [1 / 3] * 3
+
+        def parts():
+            return [rig.watch.newest[name].part for name in names if name in rig.watch.newest]
+        assert await rig.until(lambda: parts() == whole, LONG) is not None
+        await rig.leave(names[2])
+        assert await rig.until(lambda: parts() == [0.5, 0.5], 5.0) is not None, "two heirs, half of the slot each"
+        assert await rig.until(lambda: parts() == whole[:2], LONG) is not None, "a loan ends by itself"
+        await rig.start(names[2])
+        assert await rig.until(lambda: parts() == whole, LONG) is not None
+        rig.kill(names[1])
+        assert await rig.until(lambda: rig.holds_gone(names[1]), LONG) is not None
+        assert parts() == [1 / 3] * 2, "nobody can tell a crash from a cut"
+    assert played(tmp_path, script, 3).broken == []
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,6 @@
 """Files read into objects: what is wrong is told on one line with file, line, place and expectation."""
+from pathlib import Path
+
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -7,6 +9,7 @@
 from sprucespool.settings import Bytes, Duration, Refused, read, write
 from sprucespool.settings.controller import ControllerPlan, Invokers, ModelFacts, ModelTable, deployment
 from sprucespool.settings.kdl import _scan
+from sprucespool.standin.schedule import schedule
 from sprucespool.standin.script import Day
 
 GOOD = """// a controller
@@ -103,3 +106,37 @@
 def test_the_first_pattern_that_fits_a_model_holds():
     table = ModelTable([ModelFacts("a-*", lanes=1), ModelFacts("*", lanes=2)])
     assert [table.of(name).lanes for name in ("a-1", "b", "a-1")] == [1, 2, 1]
+
+
+GROUPED = """
+listen "127.0.0.1:0"
+roster file="i.kdl"
+model-group "line" slo-time="600ms" route-timeout="2500ms"
+"""
+
+
+@pytest.mark.parametrize(("line", "expected"), [
+    ('group "g"', "expected mark"), ('group "g" mark=""', "a name and a mark"),
+    ('group "g" mark="m" period="1ms"', "50ms to 60s"), ('group "g" mark="m" advertise="nowhere"', "an address"),
+    ('group "g" mark="m" { seed "x" }', "an address"), ("learning members=true", "a group node"),
+    ('source "10.0.0.1"', "loopback")])
+def test_a_group_that_can_not_be_is_refused_with_place_and_expectation(line, expected):
+    with pytest.raises(Refused) as caught:
+        read(ControllerPlan, GROUPED + line, "c.kdl")
+    assert expected in str(caught.value) and "c.kdl" in str(caught.value)
+
+
+DAY = Path(__file__).parent.parent / "days" / "partition.kdl"
+
+
+def test_the_same_seed_gives_the_same_script_and_a_fault_names_whom_it_parts():
+    text = DAY.read_text()
+    one, other = (schedule(read(Day, text, "d.kdl")) for _ in range(2))
+    assert one.steps == other.steps and len(one.steps) >= 15
+    parts = next(step for step in one.steps if step.what == "link")
+    assert len(parts.sides) == 3 and sum(map(len, parts.sides)) == 8 + 9
+    for bad, expected in (('between="hall-a,hall-b,coast"', 'between="hall-a" and="nowhere"'),
+                          ('what="coast"', 'what="beach"'), ('way="there"', 'way="up"'),
+                          ('group period="500ms"', "")):
+        with pytest.raises(Refused):
+            read(Day, text.replace(bad, expected), "d.kdl")
