--- a/sprucespool/membership/group.py
+++ b/sprucespool/membership/group.py
@@ -426,12 +426,14 @@
         me = self.me
         if row.seat == me.seat:
             return self._about_me(now, row, teller)
+        held = self.book.held.get(row.seat)
+        old = held.row if held else None
+        if old is not None and (old is row or old == row):
+            return False
         why = self.book.refusal(row)
         if why:
             self._refuse(now, why, teller)
             return False
-        held = self.book.held.get(row.seat)
-        old = held.row if held else None
         same = old is not None and old.start == row.start
         if same and row.state in (State.SUSPECT, State.DEAD) and row.life > old.life:  # type: ignore[union-attr]
             assert old is not None and held is not None
