One shuffle and one bound on accusers in the group; names nobody used taken out

Behaviour is as before: the draws come in the same order. Run after it: lint, types, the group's tests without the cases at 300, one test over sockets.

--- a/sprucespool/membership/book.py
+++ b/sprucespool/membership/book.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from sprucespool.membership.messages import Event
-from sprucespool.membership.rows import Row, Seat, State, mark, merge, seen_mark, sealed
+from sprucespool.membership.rows import MOST_ACCUSERS, Row, Seat, State, mark, merge, seen_mark, sealed
 
 BUCKETS = 32
 # An owner raises its incarnation by one each time it is accused: honest news never leaps far ahead of what is held.
@@ -174,4 +174,4 @@
         """What this member says when it finds the seat silent, or agrees with who does."""
         row = self.held[seat].row
         accusers = row.accusers if row.state is State.SUSPECT else ()
-        return replace(row, state=State.SUSPECT, accusers=tuple(sorted({*accusers, accuser})[:4]))
+        return replace(row, state=State.SUSPECT, accusers=tuple(sorted({*accusers, accuser})[:MOST_ACCUSERS]))
--- a/sprucespool/membership/group.py
+++ b/sprucespool/membership/group.py
@@ -152,6 +152,11 @@
         self._drawn += 1
         return zlib.crc32(b"%d:%d:%d" % (self.seed, self.start, self._drawn)) % below
 
+    def _shuffle(self, seats: list[Seat]):
+        for place in range(len(seats) - 1, 0, -1):
+            other = self._chance(place + 1)
+            seats[place], seats[other] = seats[other], seats[place]
+
     def _doublings(self) -> float:
         return math.log2(len(self.book.present) + 2)
 
@@ -226,9 +231,7 @@
     def _urgent(self, row: Row, seats: list[Seat]) -> list[Say]:
         """By a tree of two steps: each is told once, and no member has to tell more than the root of them."""
         seats = sorted(seats)
-        for place in range(len(seats) - 1, 0, -1):
-            other = self._chance(place + 1)
-            seats[place], seats[other] = seats[other], seats[place]
+        self._shuffle(seats)
         heads = max(1, math.ceil(math.sqrt(len(seats))))
         said = []
         for n in range(min(heads, len(seats))):
@@ -369,9 +372,7 @@
                     if found in present and found not in self._private:
                         return found
                 turn += sorted(seat for seat, one in present.items() if (one.row.about.zone != zone) is far)
-                for place in range(len(turn) - 1, 0, -1):
-                    other = self._chance(place + 1)
-                    turn[place], turn[other] = turn[other], turn[place]
+                self._shuffle(turn)
         return None
 
     def _ask_helpers(self, check: _Check) -> list[Say]:
--- a/sprucespool/membership/rows.py
+++ b/sprucespool/membership/rows.py
@@ -77,7 +77,7 @@
         return one if one.start > other.start else other
     if one == other:
         return one
-    told, more = (one, other) if (one.version, _content(one)) >= (other.version, _content(other)) else (other, one)
+    told = one if (one.version, _content(one)) >= (other.version, _content(other)) else other
     life, less = (one, other) if (one.life, one.seal) >= (other.life, other.seal) else (other, one)
     accusers = life.accusers
     if life.life == less.life:
--- a/sprucespool/standin/rig.py
+++ b/sprucespool/standin/rig.py
@@ -23,7 +23,7 @@
     """Controllers by name. Use `async with`: no process is left behind, whatever fails."""
 
     def __init__(self, folder: Path, seed: int = 1, period: float = 500.0, decider: str = "hiku",
-                 usual: LinkState | None = None, loan: float = 6_000.0, every: float = 250.0, program: str = ""):
+                 usual: LinkState | None = None, loan: float = 6_000.0, every: float = 250.0):
         self.folder, self.seed, self.period, self.decider, self.loan = folder, seed, period, decider, loan
         self.relays = Relays(seed, usual)
         self.watch = Watch(every)
@@ -32,7 +32,6 @@
         self.places: dict[str, Place] = {}
         self.seeds: list[str] = []
         self.deciders: dict[str, str] = {}
-        self.program = program
         (folder / "invokers.kdl").write_text("")
 
     async def __aenter__(self) -> Rig:
