Knowledge at its bound drops the same claim in every process: equals fall by key

Of claims with equal rank the one dropped went by the order of a set of strings, which is another in each process: two controllers that hold the same could drop different ones, and the test against the plain dict failed in one run of many.

--- a/sprucespool/learning/knowledge.py
+++ b/sprucespool/learning/knowledge.py
@@ -117,9 +117,10 @@
         while self.order:
             keys = self.buckets.get(self.order[0])
             if keys:
-                # The least key, not any: two that hold the same must drop the same.
+                # The least, and of equals the one first by key: two that hold the same must drop the same, and a
+                # set's order is another in each process.
                 self.dropped += 1
-                self.forget(min(keys, key=lambda key: self.claims[key].rank))
+                self.forget(min(keys, key=lambda key: (self.claims[key].rank, key)))
                 return
             self.buckets.pop(self.order.popleft(), None)
 
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -66,7 +66,7 @@
             # As by buckets: from the oldest bucket the least.
             oldest = min(int(one.seen_at // found.width) for one in plain.values())
             del plain[min((one for one in plain.values() if int(one.seen_at // found.width) == oldest),
-                          key=lambda one: one.rank).key]
+                          key=lambda one: (one.rank, one.key)).key]
         found.expire(now)
         plain = {key: one for key, one in plain.items()
                  if (int(one.seen_at // found.width) + 1) * found.width > now - KEEP}
