--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -46,6 +46,10 @@
     span = (virtual.now - at) / 1000
     steady = (virtual.said - said) / size / span
     cpu = (time.process_time() - begun) / size / span
+    weighing = Virtual(size, seed=seed, settled=True)
+    weighing.load = lambda one: tuple(weighing.chance.uniform(1, 100) for _ in range(6))
+    weighing.run(60_000)
+    held = [sum(bool(found.row.figures) for found in one.book.present.values()) for one in weighing.members.values()]
     told: list[float] = []
     gone, at = f"c{size - 1}", virtual.now
     virtual.watch = lambda member, event: told.append(virtual.now - at) if event.kind == "died" else None
@@ -74,7 +78,10 @@
             "sides_settled": seconds(apart), "whole_again": seconds(whole), "falsely_dead_at_5%": kinds["died"],
             "loss_for": seconds(lossy), "changes_of_a_deaf_member": round(changes, 2),
             "messages_a_second": round(steady, 2), "bytes_a_message": round(virtual.bytes / max(1, virtual.weighed)),
-            "cpu_of_a_core_%": round(100 * cpu, 3)}
+            "cpu_of_a_core_%": round(100 * cpu, 3),
+            "with_figures": {"bytes_a_message": round(weighing.bytes / max(1, weighing.weighed)),
+                             "messages_a_second": round(weighing.said / size / 60, 2),
+                             "held_of_others_at_least": min(held), "members": size - 1}}
 
 
 def earlier(size: int, seed: int, lossy: float, folder: str) -> dict:
--- a/sprucespool/cli/main.py
+++ b/sprucespool/cli/main.py
@@ -37,9 +37,13 @@
 
 def _decider(name: str) -> Any:
     from sprucespool.standin.baselines import DECIDERS
+    from sprucespool.standin.jumping import LOOPS
     from sprucespool.standin.members import MEMBERS
-    if name not in DECIDERS and name not in MEMBERS:
-        raise _refuse(f"--decider: expected one of {', '.join((*DECIDERS, *MEMBERS))}, got {name!r}")
+    from sprucespool.standin.plans import PLANS, STEERS
+    from sprucespool.standin.views import VIEWS
+    known = (*DECIDERS, *MEMBERS, *VIEWS, *sorted((*PLANS, *STEERS)), *LOOPS)
+    if name not in known:
+        raise _refuse(f"--decider: expected one of {', '.join(known)}, got {name!r}")
     return DECIDERS[name if name in DECIDERS else "hiku"]
 
 
@@ -48,13 +52,20 @@
         help="Another decision module: baselines and broken ones, for experiments only.")] = "hiku") -> None:
     """Run a controller until SIGTERM (owed answers are given first; a second one ends at once)."""
     from sprucespool.daemon.serve import serve as run_controller
+    from sprucespool.failover import Failover, Steer
+    from sprucespool.fleet import Fleet
     from sprucespool.gateway import Gateway
     from sprucespool.membership import Group
     from sprucespool.standin.baselines import GATEWAYS
+    from sprucespool.standin.jumping import LOOPS
     from sprucespool.standin.members import MEMBERS
+    from sprucespool.standin.plans import PLANS, STEERS
+    from sprucespool.standin.views import VIEWS
     plan = _read(ControllerPlan, settings)
     try:
-        status = run_controller(plan, _decider(decider), GATEWAYS.get(decider, Gateway), MEMBERS.get(decider, Group))
+        status = run_controller(plan, _decider(decider), GATEWAYS.get(decider, Gateway), MEMBERS.get(decider, Group),
+                                VIEWS.get(decider, Fleet), PLANS.get(decider, Failover), STEERS.get(decider, Steer),
+                                LOOPS.get(decider))
     except OSError as problem:
         raise _refuse(f"{settings}: {problem.filename or ''}: {problem.strerror or problem}") from None
     raise typer.Exit(status)
@@ -122,6 +133,21 @@
     if result.settled is not None:
         print(f"views equal {result.settled / 1000:.1f} s after the last fault; "
               f"invariants broken: {len(result.invariants)}")
+    if result.fleet is not None and result.fleet.views:
+        for one in result.fleet.broken[:20]:
+            print(f"fleet invariant {one.which} at {one.at:.0f}: {one.what}")
+        settled = result.fleet.settled
+        print(f"fleet views equal {'never' if settled is None else f'{settled / 1000:.1f} s'} after the last change; "
+              f"forwards after an end that others knew: {len(result.fleet.late)}; "
+              f"fleet invariants broken: {len(result.fleet.broken)}")
+    if result.failover is not None:
+        for one in result.failover.broken[:20]:
+            print(f"failover invariant {one.which} at {one.at:.0f}: {one.what}")
+        settled, near = (("never" if span is None else f"{span / 1000:.1f} s")
+                         for span in (result.failover.settled, result.failover.near))
+        print(f"one plan followed {settled}, near traffic back {near} after the last fault; plans: "
+              f"{result.failover.plans}; crossings: {result.failover.crossed:.1%}, while all was well "
+              f"{result.failover.calm_crossed:.2%}; failover invariants broken: {len(result.failover.broken)}")
     print(f"rules broken: {len(result.broken)}")
 
 
@@ -151,7 +177,9 @@
         print(msgspec.json.encode(result.as_dict()).decode())
     else:
         _shown(result)
-    raise typer.Exit(1 if result.broken or result.unclean or result.invariants else 0)
+    raise typer.Exit(1 if result.broken or result.unclean or result.invariants or (
+        result.fleet is not None and result.fleet.broken) or (
+        result.failover is not None and result.failover.broken) else 0)
 
 
 @app.command()
@@ -187,9 +215,15 @@
     compare: Annotated[bool, typer.Option("--compare", help="Say in which rows these controllers differ.")] = False,
 ) -> None:
     """Show the group of controllers as a running one sees it; status 1 if those compared differ."""
-    from sprucespool.cli.members import Unreachable, run
+    from sprucespool.cli.members import run as show
+    _show(show, addresses, watch, json, compare)
+
+
+def _show(show: Any, *told: Any) -> None:
+    """What asks a running controller: its status, or one line on why it could not be asked."""
+    from sprucespool.cli.asking import Unreachable
     try:
-        raise typer.Exit(run(addresses, watch, json, compare))
+        raise typer.Exit(show(*told))
     except ValueError as problem:
         raise _refuse(str(problem)) from None
     except Unreachable as problem:
@@ -197,6 +231,69 @@
         raise typer.Exit(3) from None
 
 
+@app.command()
+def fleet(
+    addresses: Annotated[list[str], typer.Argument(help="HOST:PORT of a running controller.", metavar="ADDRESS...")],
+    watch: Annotated[bool, typer.Option("--watch", help="Again every second, until interrupted.")] = False,
+    json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
+    compare: Annotated[bool, typer.Option("--compare", help="Say of which invokers these know different things.")]
+    = False,
+) -> None:
+    """Show the invokers as a running controller knows them; status 1 if those compared differ."""
+    from sprucespool.cli.fleet import run as show
+    _show(show, addresses, watch, json, compare)
+
+
+@app.command()
+def zones(
+    addresses: Annotated[list[str], typer.Argument(help="HOST:PORT of a running controller.", metavar="ADDRESS...")],
+    watch: Annotated[bool, typer.Option("--watch", help="Again every second, until interrupted.")] = False,
+    json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
+    compare: Annotated[bool, typer.Option("--compare", help="Say whether these follow the same plan.")] = False,
+) -> None:
+    """Show the plan of zones that a running controller follows, why, and who agrees; status 1 if those compared
+    differ."""
+    from sprucespool.cli.zones import run as show
+    _show(show, addresses, watch, json, compare)
+
+
+def _drain(where: str, zone: str, away: bool, force: bool) -> None:
+    from sprucespool.cli.zones import run_drain
+    _show(run_drain, where, zone, away, force)
+
+
+@app.command("drain-zone")
+def drain_zone(
+    zone: str, at: Annotated[str, typer.Option(help="HOST:PORT of any running controller.")],
+    force: Annotated[bool, typer.Option("--force", help="Though some load would have to be shed.")] = False,
+) -> None:
+    """Have the group empty a zone; status 1 with the reason where that would overload the rest."""
+    _drain(at, zone, True, force)
+
+
+@app.command("undrain-zone")
+def undrain_zone(zone: str, at: Annotated[str, typer.Option(help="HOST:PORT of any running controller.")]) -> None:
+    """Have the group use a drained zone again, in steps."""
+    _drain(at, zone, False, False)
+
+
+failover = typer.Typer(add_completion=False, no_args_is_help=True, help="Plans of zones, tried without running any.")
+app.add_typer(failover, name="failover")
+
+
+@failover.command("what-if")
+def what_if(states: Path, json: Annotated[bool, typer.Option("--json", help="One JSON list.")] = False) -> None:
+    """Say what would be planned in the states that the file describes; status 1 if an expectation does not hold."""
+    from sprucespool.cli.zones import what_if_of
+    from sprucespool.failover.whatif import WhatIf
+    raise typer.Exit(what_if_of(_read(WhatIf, states), json))
+
+
+@failover.callback()
+def _failover() -> None:
+    """Plans of zones, tried without running any."""
+
+
 def run() -> None:
     app()
 
--- a/sprucespool/cli/members.py
+++ b/sprucespool/cli/members.py
@@ -1,30 +1,18 @@
 """`sprucespool members`: the group as a running controller sees it."""
 from __future__ import annotations
 
-import asyncio
-import sys
-import time
-
-import msgspec
-from rich.console import Console
 from rich.table import Table
 
-from sprucespool.cli.asking import Unreachable, ask
+from sprucespool.cli.asking import Unreachable, fetched, show
 from sprucespool.daemon.group import Line, View
 from sprucespool.wire import names
-from sprucespool.wire import platform_pb2 as platform
 
 __all__ = ["Unreachable", "differences", "fetch", "run"]
 
 
 async def fetch(where: str) -> View:
     """Raises Unreachable."""
-    reply = await ask(where, names.MEMBERSHIP_VIEW, platform.ViewRequest(), platform.ViewReply)
-    return msgspec.json.decode(reply.view, type=View)
-
-
-async def _all(addresses: list[str]) -> list[View]:
-    return list(await asyncio.gather(*(fetch(where) for where in addresses)))
+    return await fetched(where, names.MEMBERSHIP_VIEW, View)
 
 
 def differences(views: list[View]) -> list[str]:
@@ -44,32 +32,25 @@
     return lines
 
 
+def _load(view: View, line: Line) -> str:
+    told = dict(zip(view.figures, line.figures, strict=False))
+    return f"{told['taken_a_second']:g}/s, owes {told['owed']:g}, cpu {told['cpu']:.0%}" if told else ""
+
+
 def _table(view: View) -> Table:
     table = Table(title=f"group {view.group} as {view.me} sees it: {view.live} there, digest {view.digest}, "
                         f"epoch {view.epoch}, own part {view.part:.3f}" + (", ISOLATED" if view.isolated else ""))
-    for name in ("region", "zone", "member", "address", "number", "phase", "state", "last word", "silent, say"):
+    for name in ("region", "zone", "member", "address", "number", "phase", "state", "last word", "load", "silent, say"):
         table.add_column(name)
     for line in sorted(view.members, key=lambda line: (line.region, line.zone, line.name)):
         table.add_row(line.region, line.zone, line.name, line.address, f"{line.number}/{line.of}", line.phase,
-                      line.state, f"{line.age_ms / 1000:.1f} s", ", ".join(line.suspected_by))
+                      line.state, f"{line.age_ms / 1000:.1f} s", _load(view, line), ", ".join(line.suspected_by))
     for line in view.gone:
         table.add_row(line.region, line.zone, line.name, line.address, f"{line.number}/{line.of}", line.phase,
-                      line.state, f"{line.age_ms / 1000:.1f} s", "")
+                      line.state, f"{line.age_ms / 1000:.1f} s", "", "")
     return table
 
 
 def run(addresses: list[str], watch: bool, as_json: bool, compare: bool) -> int:
     """Raises Unreachable, and ValueError on what is no address."""
-    while True:
-        views = asyncio.run(_all(addresses if compare else addresses[:1]))
-        if as_json:
-            print(msgspec.json.encode(views if compare else views[0]).decode(), flush=True)
-        elif compare:
-            found = differences(views)
-            alike = f"{len(views)} controllers see the same: {views[0].digest}"
-            print("\n".join(found) if found else alike, flush=True)
-        else:
-            Console(width=None if sys.stdout.isatty() else 140).print(_table(views[0]))
-        if not watch:
-            return int(compare and bool(differences(views)))
-        time.sleep(1.0)
+    return show(fetch, differences, _table, "see the same", addresses, watch, as_json, compare)
--- a/sprucespool/daemon/door.py
+++ b/sprucespool/daemon/door.py
@@ -10,6 +10,8 @@
 from typing import Any, BinaryIO
 
 from sprucespool import interface as it
+from sprucespool.daemon.failover import FailoverCarrier
+from sprucespool.daemon.fleet import SHOWING, FleetCarrier
 from sprucespool.daemon.learning import Exchange
 from sprucespool.daemon.request import parsed
 from sprucespool.gateway import Decider, Gateway, Recorder
@@ -40,6 +42,7 @@
     streamed: bool
     path: str
     since: float
+    group: str
     forwards: list[str] = field(default_factory=list)
     results: int = 0
 
@@ -54,6 +57,7 @@
     count: int = 0
     streaming: bool = False
     owed: int = 0
+    due: float = 0.0
 
 
 class Door:
@@ -81,6 +85,10 @@
         self.fetch_roster: Callable[[], None] = lambda: None
         self.ready = False
         self.exchange: Exchange | None = None
+        # What own forwards show of invokers, where a view in common is kept.
+        self.eyes: FleetCarrier | None = None
+        # Which zones an inference may go to, where a plan of zones is followed.
+        self.steers: FailoverCarrier | None = None
         bounds, far = plan.bounds, plan.to_invokers
         self.far_limits = Limits(streams=far.streams, message=bounds.message, header_list=bounds.headers,
                                  stream_window=max(65_536, bounds.stream_buffer),
@@ -176,9 +184,11 @@
             return call.finish(outcomes.MALFORMED, str(problem))
         group = self.gateway.groups[given.group]
         client = _Client(given.call, call, data, told, streamed,
-                         names.MODEL_STREAM_INFER if group.streamed else names.MODEL_INFER, self.now())
+                         names.MODEL_STREAM_INFER if group.streamed else names.MODEL_INFER, self.now(), group.name)
         self.clients[client.id] = client
         self.held += len(data)
+        if self.steers is not None:
+            given.zones = self.steers.zones(given)
         call.on_gone = lambda: self._client_gone(client)
         self.tell(given)
 
@@ -252,7 +262,11 @@
         if client is None:
             # The client left in this very turn of the loop; its going is the next input.
             return self.tell(ms.ForwardEnded(effect.forward, it.Outcome.NOT_SENT.value))
-        out = self.out[effect.forward] = _Out(client, invoker=effect.invoker)
+        out = self.out[effect.forward] = _Out(client, invoker=effect.invoker, due=self.now() + effect.time_out)
+        if self.eyes is not None:
+            self.eyes.sent(effect.forward, effect.invoker)
+        if self.steers is not None:
+            self.steers.sent(effect.forward, effect.invoker, client.group)
         client.forwards.append(effect.invoker)
         metadata = {**self.about, **({names.PREVIOUS_ATTEMPTS: str(effect.attempt)} if effect.attempt else {})}
         out.sent = self.pool(effect.invoker).call(
@@ -289,6 +303,10 @@
         self.ended.append(number)
         if self.debugging and outcome is not it.Outcome.RETURNED:
             self.log.debug("forward", call=out.client.id, invoker=out.invoker, end=outcome.value, told=str(event)[:200])
+        if self.eyes is not None:
+            self.eyes.ended(number, outcome, trailers)
+        if self.steers is not None:
+            self.steers.ended(number, outcome, found)
         if self.exchange is not None:
             self.exchange.ended(out.invoker, out.client.told.model, outcome, found)
         self.tell(ms.ForwardEnded(
@@ -309,6 +327,12 @@
         out = self.out.pop(effect.forward, None)
         if out is not None and out.sent is not None:
             out.sent.cancel()
+        if out is not None and self.eyes is not None:
+            over = self.now() >= out.due - 1.0 and not out.streaming
+            how = it.Outcome.TIMED_OUT if over else it.Outcome.CALLED_OFF
+            self.eyes.ended(effect.forward, how, {})
+            if self.steers is not None:
+                self.steers.ended(effect.forward, how, it.Found.UNTOLD)
 
     # Answers
 
@@ -405,6 +429,14 @@
                   lambda outcome, trailers: self.tell(
                       ms.ProbeEnded(effect.probe, outcome.value, outcomes.report(trailers))))
 
+    def ask_ready(self, invoker: str) -> None:
+        """For the view in common: which process stands there, if it tells."""
+        def ended(outcome: it.Outcome, trailers: Metadata):
+            if outcome is it.Outcome.RETURNED and self.eyes is not None:
+                self.eyes.probed(invoker, trailers)
+        self.numbers += 1
+        self._ask(-self.numbers, invoker, names.SERVER_READY, b"", 500.0, ended)
+
     def _message(self, effect: ms.SendMessage):
         note = platform.PeerNote(sender=self.plan.controller.number, payload=effect.payload).SerializeToString()
         for number, where in self.peers.items():
@@ -417,6 +449,12 @@
         if effect.invoker in self.pools:
             self.pools[effect.invoker].close_idle()
 
+    def _beliefs(self, effect: ms.BeliefsGiven):
+        if effect.token == SHOWING and self.eyes is not None:
+            self.eyes.given(effect)
+        elif self.exchange is not None:
+            self.exchange.given(effect)
+
     def _note(self, effect: ms.Note):
         (self.log.error if effect.fault else self.log.info)("module", text=effect.text, call=effect.call)
 
@@ -470,7 +508,7 @@
     ms.AnswerFailed: Door._failed, ms.Rejected: Door._rejected, ms.SendOrder: Door._order,
     ms.SendUnload: Door._unload, ms.SendProbe: Door._probe, ms.CloseIdle: Door._close_idle,
     ms.SendMessage: Door._message, ms.WakeAt: lambda door, effect: door.turn.wake_at(effect.at), ms.Note: Door._note,
-    ms.BeliefsGiven: lambda door, effect: door.exchange.given(effect) if door.exchange else None,
+    ms.BeliefsGiven: Door._beliefs,
     ms.SubscribeRoster: lambda door, effect: door.subscribe(effect.active),
     ms.FetchRoster: lambda door, effect: door.fetch_roster(),
 }
--- a/sprucespool/daemon/group.py
+++ b/sprucespool/daemon/group.py
@@ -24,6 +24,10 @@
 from sprucespool.wire import platform_pb2 as platform
 
 BUILD = "0.2"
+# What a member tells of its load and capacity, in this order.
+FIGURES = ("taken_a_second", "shed_a_second", "owed", "may_owe", "lag_ms", "cpu")
+# What rides on a message at the most.
+MOST_NOTE = 262_144
 # Time for others to ask a leaver for its part, before its last words.
 LEAVE_AFTER = 0.25
 STATES = {state: state.name.lower() for state in State}
@@ -59,6 +63,7 @@
     isolated: bool
     live: int
     part: float
+    figures: list[str]
     members: list[Line]
     gone: list[Line]
     tally: dict[str, Any]
@@ -83,9 +88,18 @@
         self.group: Group | None = None
         self.on_event: list[Callable[[Event], None]] = []
         self.timer: asyncio.TimerHandle | None = None
+        self.stopped = False
         self.sharing: tuple[int, float] | None = None
         self.refused: dict[str, int] = {}
         self.looked = 0.0
+        # What rides on each message, of the fleet's view and of plans; who hears of what rode on one or came alone.
+        self.ride: Callable[[], bytes] = bytes
+        self.on_note: Callable[[bytes], None] = lambda data: None
+        self.ride_plan: Callable[[], bytes] = bytes
+        self.on_plan: Callable[[bytes], None] = lambda data: None
+        # Own load and capacity now, in the order of `figures`.
+        self.figures: tuple[str, ...] = FIGURES
+        self.weigh: Callable[[], tuple[float, ...]] = tuple
 
     def now(self) -> float:
         return self.loop.time() * 1000.0
@@ -105,6 +119,7 @@
         self._do(self.group.tick(self.now()))
         if self.loop.time() - self.looked > 1.0:
             self.looked = self.loop.time()
+            self.group.weigh(self.now(), self.weigh())
             for where, pool in list(self.pools.items()):
                 pool.look()
                 if pool.quiet:
@@ -114,6 +129,9 @@
         """After each step of the member: send, tell what changed, come back when something is due."""
         group = self.group
         assert group is not None
+        if self.stopped:
+            # Against a member that goes on by itself: whatever still reaches it, it says nothing more.
+            return
         for say in said:
             self._send(say)
         for event in group.take_events():
@@ -139,9 +157,23 @@
             hear(event)
 
     def _send(self, say: Say):
-        message = platform.MemberMessage(message=self.codec.encode(say.message)).SerializeToString()
+        self._post(say.to, platform.MemberMessage(message=self.codec.encode(say.message), fleet=self.ride(),
+                                                  failover=self.ride_plan()))
+
+    def send_note(self, to: str, note: bytes) -> None:
+        """Something for the user of the group there, with no message of the group's own."""
+        self._post(to, platform.MemberMessage(fleet=note))
+
+    def send_plan(self, to: str, said: bytes) -> None:
+        """A word of the council, or a plan told on, by itself."""
+        self._post(to, platform.MemberMessage(failover=said))
+
+    def _post(self, to: str, what: platform.MemberMessage):
+        if self.stopped:
+            return
+        message = what.SerializeToString()
         try:
-            pool = self._pool(say.to)
+            pool = self._pool(to)
         except ValueError:
             return  # a member that calls itself what is no address
         # Nobody waits for what a member says; the protocol counts what does not come back. Given up after a while: a
@@ -156,7 +188,7 @@
             limits = PoolLimits(connections=1, connect_timeout=500.0, idle_close=20_000.0, keepalive=3_000.0,
                                 keepalive_timeout=3_000.0, first_backoff=20.0, last_backoff=400.0, waiting=64,
                                 source=self.plan.source)
-            self.pools[where] = Pool(host, port, Limits(message=MOST_BYTES + 4096, streams=1000), limits,
+            self.pools[where] = Pool(host, port, Limits(message=MOST_BYTES + MOST_NOTE + 4096, streams=1000), limits,
                                      self.plan.seed * 31 + len(self.pools))
         return self.pools[where]
 
@@ -167,21 +199,36 @@
 
     def _said(self, call: ServerCall, data: bytes):
         try:
-            message = self.codec.decode(platform.MemberMessage.FromString(data).message)
-            loopback(message.sender.address)
+            told = platform.MemberMessage.FromString(data)
+            alone = not told.message and (told.fleet or told.failover)
+            message = None if alone else self.codec.decode(told.message)
+            if message is not None:
+                loopback(message.sender.address)
         except (DecodeError, MessageError, ValueError) as problem:
-            why = str(problem)[:200]
-            # Texts come with figures of what was sent: a flood of different ones fills neither memory nor log.
-            known = why if why in self.refused or len(self.refused) < 64 else "others"
-            count = self.refused[known] = self.refused.get(known, 0) + 1
-            if count & (count - 1) == 0:
-                self.log.warning("message refused", peer=call.peer, why=why, count=count)
-            return call.finish(Status.INVALID_ARGUMENT, why)
+            return call.finish(Status.INVALID_ARGUMENT, self._refuse(call, problem))
+        try:
+            if told.fleet:
+                self.on_note(told.fleet)
+            if told.failover:
+                self.on_plan(told.failover)
+        except ValueError as problem:
+            why = self._refuse(call, problem)
+            if message is None:
+                return call.finish(Status.INVALID_ARGUMENT, why)
         call.send(platform.MemberHeard().SerializeToString())
         call.finish(Status.OK)
-        if self.group is not None:
+        if self.group is not None and message is not None:
             self._do(self.group.heard(self.now(), message))
 
+    def _refuse(self, call: ServerCall, problem: Exception) -> str:
+        why = str(problem)[:200]
+        # Texts come with figures of what was sent: a flood of different ones fills neither memory nor log.
+        known = why if why in self.refused or len(self.refused) < 64 else "others"
+        count = self.refused[known] = self.refused.get(known, 0) + 1
+        if count & (count - 1) == 0:
+            self.log.warning("message refused", peer=call.peer, why=why, count=count)
+        return why
+
     def _view(self, call: ServerCall, data: bytes):
         if self.group is None:
             return call.finish(Status.UNAVAILABLE, "not yet in the group")
@@ -195,8 +242,9 @@
         members = [self._line(group.me, 0.0)] + [self._line(one.row, now - one.known) for one in book.present.values()]
         gone = [self._line(one.row, now - one.since) for one in book.gone.values()]
         tally = group.tally
+        members.sort(key=lambda line: (line.name, line.address))
         return View(self.told.name, group.me.name, group.me.start, f"{group.digest:016x}", book.epoch, group.isolated,
-                    len(group.live()), group.part(), sorted(members, key=lambda line: (line.name, line.address)), gone,
+                    len(group.live()), group.part(), list(self.figures), members, gone,
                     {"said": tally.said, "heard": tally.heard, "suspected": tally.suspected, "cleared": tally.cleared,
                      "died": tally.died, "refuted": tally.refuted, "distrusted": tally.distrusted,
                      "refused": {**tally.refused, **self.refused}})
@@ -205,7 +253,7 @@
         about = row.about
         return Line(row.name, row.address, row.start, about.region, about.zone, about.number, about.of, row.version,
                     about.phase.name.lower(), STATES[row.state], row.incarnation, round(max(0.0, age), 1),
-                    list(row.accusers) if row.state is State.SUSPECT else [], list(about.figures), about.build)
+                    list(row.accusers) if row.state is State.SUSPECT else [], list(row.figures), about.build)
 
     # Telling
 
@@ -227,6 +275,7 @@
         await asyncio.sleep(LEAVE_AFTER / 5)
 
     def stop(self) -> None:
+        self.stopped = True
         if self.timer is not None:
             self.timer.cancel()
         for pool in self.pools.values():
--- a/sprucespool/daemon/learning.py
+++ b/sprucespool/daemon/learning.py
@@ -2,16 +2,15 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import time
 from collections.abc import Callable, Iterable
-from pathlib import Path
 from typing import Any
 
 from google.protobuf.message import DecodeError
 
 from sprucespool import interface as it
 from sprucespool.daemon.request import parsed
+from sprucespool.daemon.snapshots import SnapshotFile
 from sprucespool.gateway import messages as ms
 from sprucespool.grpc.link import Answered, Message
 from sprucespool.grpc.status import Limits, Metadata, Status
@@ -30,49 +29,6 @@
 SERVING = it.Status.IN_SERVICE.value
 
 
-class SnapshotFile:
-    """Written whole or not at all; what can't be read is set aside under another name, and said so once."""
-
-    def __init__(self, path: str, log: Any):
-        self.path, self.log = Path(path), log
-
-    def write(self, data: bytes) -> None:
-        part = self.path.with_name(self.path.name + ".part")
-        try:
-            with open(part, "wb") as sink:
-                sink.write(data)
-                sink.flush()
-                os.fsync(sink.fileno())
-            os.replace(part, self.path)
-        except OSError as problem:
-            self.log.error("snapshot not written", file=str(self.path), why=str(problem))
-
-    def read(self, wall_ms: float) -> tuple[list, float] | None:
-        """(rows, ms since they were written), or None where there is nothing of use."""
-        try:
-            with open(self.path, "rb") as source:
-                data = source.read(MOST_BYTES + 1024)
-        except FileNotFoundError:
-            return None
-        except OSError as problem:
-            self.log.error("snapshot not read", file=str(self.path), why=str(problem))
-            return None
-        try:
-            rows, written_at = decode(data)
-            if written_at <= 0 or written_at > wall_ms:
-                # A clock that went back: how old it is can't be known.
-                raise CodecError("written at a time that has not come")
-        except CodecError as problem:
-            aside = self.path.with_name(self.path.name + ".refused")
-            self.log.error("snapshot refused", file=str(self.path), kept=str(aside), why=str(problem))
-            try:
-                os.replace(self.path, aside)
-            except OSError:
-                pass
-            return None
-        return rows, wall_ms - written_at
-
-
 class Exchange:
     """One controller's part: asks at its start, answers others, writes and reads its snapshot."""
 
@@ -88,7 +44,7 @@
         self.seed = seed
         self.token = 0
         self.waiting: list[tuple[ServerCall, int, int]] = []
-        self.file = SnapshotFile(plan.snapshot, log) if plan.snapshot else None
+        self.file = SnapshotFile(plan.snapshot, log, MOST_BYTES) if plan.snapshot else None
         self.snapshot_due = self.loop.time() + plan.snapshot_every / 1000.0
         self.writing = False
         self.timer: asyncio.TimerHandle | None = None
@@ -99,13 +55,25 @@
 
     def start(self) -> None:
         if self.file is not None:
-            found = self.file.read(self.wall() * 1000.0)
-            if found is not None:
-                self.log.info("snapshot read", rows=len(found[0]), age_ms=round(found[1]))
-                self._do(self.newcomer.snapshot(self.now(), *found))
+            self._restore(self.file, self.wall() * 1000.0)
         self._do(self.newcomer.start(self.now()))
         self._look()
 
+    def _restore(self, file: SnapshotFile, wall_ms: float):
+        data = file.read()
+        if data is None:
+            return
+        try:
+            rows, written_at = decode(data)
+            if written_at <= 0 or written_at > wall_ms:
+                # A clock that went back: how old it is can't be known.
+                raise CodecError("written at a time that has not come")
+        except CodecError as problem:
+            return file.refuse(str(problem))
+        age = wall_ms - written_at
+        self.log.info("snapshot read", rows=len(rows), age_ms=round(age))
+        self._do(self.newcomer.snapshot(self.now(), rows, age))
+
     def _look(self):
         self.timer = self.loop.call_later(LOOK_EVERY, self._look)
         self._do(self.newcomer.look(self.now()))
--- a/sprucespool/daemon/roster.py
+++ b/sprucespool/daemon/roster.py
@@ -29,7 +29,7 @@
     """Reads a file again whenever it changes; a bad one is logged and the last good one stays in force."""
 
     def __init__(self, path: str, tell: Tell, log: Any):
-        self.path, self.tell, self.log = path, tell, log
+        self.path, self.tell, self.log, self.source = path, tell, log, path
         self.loop = asyncio.get_running_loop()
         self.seen: tuple | None = None
         self.version, self.complained = 0, ""
@@ -55,7 +55,8 @@
             self.complained = str(problem)
             return
         self.complained = ""
-        self.version += 1
+        # By the file's own time: who reads the same file has the same versions.
+        self.version = max(self.version + 1, about.st_mtime_ns // 1_000_000)
         rows = [ms.Row(line.address, line.zone, line.kind, line.cell,
                        it.Status.DRAINING.value if line.draining else it.Status.IN_SERVICE.value, line.size)
                 for line in found.invokers]
@@ -79,6 +80,9 @@
     def __init__(self, where: str, asked: bool, tell: Tell, log: Any, seed: int, about: Metadata, source: str = ""):
         host, port = address(where)
         self.where, self.asked, self.tell, self.log, self.about = where, asked, tell, log, about
+        # As it names itself; who hears when the connection to it is gone.
+        self.source = ""
+        self.on_lost: Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
         limits = PoolLimits(connections=1, connect_timeout=1000.0, first_backoff=20.0, last_backoff=2000.0,
                             keepalive=2000.0, keepalive_timeout=2000.0, source=source)
@@ -132,6 +136,7 @@
         elif not isinstance(event, Drained) and not self.stopped:
             # The old list stays in force: a dead roster must not empty the fleet.
             self.log.warning("roster lost", source=self.where, why=str(event)[:200])
+            self.on_lost()
             if self.asked:
                 self.tell(ms.Roster(it.News.UNAVAILABLE.value))
             else:
@@ -149,6 +154,7 @@
         except (DecodeError, KeyError, ValueError) as problem:
             return self.log.error("roster news refused", source=self.where, why=str(problem)[:200])
         self.log.info("roster", source=self.where, version=news.version, entries=len(rows))
+        self.source = news.source[:64]
         self.tell(ms.Roster(KINDS.get(news.kind, it.News.UPDATE.value), news.version, rows))
 
     def stop(self) -> None:
--- a/sprucespool/daemon/serve.py
+++ b/sprucespool/daemon/serve.py
@@ -6,14 +6,19 @@
 import json
 import signal
 import sys
+import time
 from collections.abc import Callable
 from typing import Any
 
 from sprucespool import interface as it
 from sprucespool.daemon.door import Door
+from sprucespool.daemon.failover import FailoverCarrier
+from sprucespool.daemon.fleet import FleetCarrier
 from sprucespool.daemon.group import GroupCarrier
 from sprucespool.daemon.logs import opened
 from sprucespool.daemon.roster import RosterFile, RosterWatch
+from sprucespool.failover import Failover, Steer
+from sprucespool.fleet import Fleet
 from sprucespool.gateway import Decider, Gateway
 from sprucespool.gateway import messages as ms
 from sprucespool.grpc.status import Limits
@@ -23,11 +28,29 @@
 from sprucespool.transport.listener import Listener, Server
 
 
+class Weighing:
+    """Load and capacity of this process since it was last asked, in the order of `group.FIGURES`."""
+
+    def __init__(self, door: Door):
+        self.door = door
+        self.before = door.now(), 0, 0, time.process_time()
+
+    def figures(self) -> tuple[float, ...]:
+        door, counts = self.door, self.door.gateway.counts
+        at, taken, shed, cpu = self.before
+        now, shed_now = door.now(), counts.shed + door.turned_away
+        self.before = now, counts.taken, shed_now, time.process_time()
+        span = max(1.0, now - at) / 1000.0
+        return (round((counts.taken - taken) / span, 1), round((shed_now - shed) / span, 1), float(len(door.clients)),
+                float(door.plan.bounds.calls), round(door.turn.lag, 1), round((self.before[3] - cpu) / span, 3))
+
+
 class Daemon:
     """The wiring; `start`, then `stop`."""
 
     def __init__(self, plan: ControllerPlan, log: Any, decider: Callable[[it.Deployment, int], Decider] = Controller,
-                 library: type[Gateway] = Gateway, member: type[Group] = Group):
+                 library: type[Gateway] = Gateway, member: type[Group] = Group, view: type[Fleet] = Fleet,
+                 failover: type[Failover] = Failover, steer: type[Steer] = Steer):
         self.plan, self.log = plan, log
         self.sink = open(plan.record, "wb") if plan.record else None
         self.door = Door(plan, log, self.sink, decider, library)
@@ -35,9 +58,20 @@
         if plan.group is not None:
             self.group = GroupCarrier(plan, plan.group, self.door.tell, log, self.door.about, member)
             self.group.on_event.append(self._member)
+            self.group.weigh = Weighing(self.door).figures
+        self.fleet: FleetCarrier | None = None
+        if plan.fleet_view is not None and plan.group is not None and self.group is not None:
+            self.fleet = self.door.eyes = FleetCarrier(plan, plan.fleet_view, plan.group, self.group, self._told, log,
+                                                       view)
+            self.fleet.probe = self.door.ask_ready
+        self.failover: FailoverCarrier | None = None
+        if plan.failover is not None and self.group is not None and self.fleet is not None:
+            self.failover = self.door.steers = FailoverCarrier(plan, plan.failover, self.group, self.fleet, log,
+                                                               failover, steer)
         bounds = plan.bounds
         self.listener = Listener(
-            {**self.door.methods(), **(self.group.methods() if self.group else {})},
+            {**self.door.methods(), **(self.group.methods() if self.group else {}),
+             **(self.fleet.methods() if self.fleet else {}), **(self.failover.methods() if self.failover else {})},
             Limits(streams=bounds.streams, header_list=bounds.headers, message=bounds.message, unsent=bounds.unsent),
             Server(connections=bounds.connections, handshake=bounds.handshake, idle_close=bounds.idle_close,
                    keepalive=bounds.keepalive, keepalive_timeout=bounds.keepalive_timeout, unread=bounds.unread,
@@ -47,6 +81,8 @@
         if plan.roster.watch is not None:
             self.roster = RosterWatch(plan.roster.watch, plan.roster.asked, tell, log,
                                       plan.seed * 31 + plan.controller.number, dict(self.door.about), plan.source)
+            if self.fleet is not None:
+                self.roster.on_lost = self.fleet.roster_lost
             self.door.fetch_roster = self.roster.fetch
         else:
             assert plan.roster.file is not None
@@ -54,7 +90,13 @@
         self.door.subscribe = self.roster.subscribe
 
     def _roster_told(self, given: ms.Input):
-        self.door.ready = True
+        if self.fleet is not None and isinstance(given, ms.Roster):
+            # The view tells the module what all know of it.
+            return self.fleet.roster(given, self.roster.source or self.plan.roster.name)
+        self._told(given)
+
+    def _told(self, given: ms.Input):
+        self.door.ready = self.door.ready or isinstance(given, ms.Roster)
         self.door.tell(given)
         if self.door.exchange is not None and isinstance(given, ms.Roster):
             self.door.exchange.roster(given)
@@ -73,6 +115,10 @@
             self.door.exchange.start()
         if self.group is not None:
             self.group.start(f"{host}:{found}")
+        if self.fleet is not None:
+            self.fleet.start()
+        if self.failover is not None:
+            self.failover.start()
         return found
 
     async def stop(self, timeout: float) -> int:
@@ -91,6 +137,10 @@
 
     def close(self) -> None:
         self.roster.stop()
+        if self.failover is not None:
+            self.failover.stop()
+        if self.fleet is not None:
+            self.fleet.stop()
         if self.group is not None:
             self.group.stop()
         self.door.close()
@@ -100,10 +150,11 @@
 
 
 async def _serve(plan: ControllerPlan, decider: Callable[[it.Deployment, int], Decider],
-                 library: type[Gateway], member: type[Group]) -> int:
+                 library: type[Gateway], member: type[Group], view: type[Fleet], failover: type[Failover],
+                 steer: type[Steer]) -> int:
     loop = asyncio.get_running_loop()
     log = opened(plan.log.level, plan.log.file, controller=plan.controller.number)
-    daemon = Daemon(plan, log, decider, library, member)
+    daemon = Daemon(plan, log, decider, library, member, view, failover, steer)
     try:
         port = await daemon.start()
     except OSError as problem:
@@ -138,6 +189,9 @@
 
 
 def serve(plan: ControllerPlan, decider: Callable[[it.Deployment, int], Decider] = Controller,
-          library: type[Gateway] = Gateway, member: type[Group] = Group) -> int:
+          library: type[Gateway] = Gateway, member: type[Group] = Group, view: type[Fleet] = Fleet,
+          failover: type[Failover] = Failover, steer: type[Steer] = Steer,
+          loop: Callable[[], asyncio.AbstractEventLoop] | None = None) -> int:
     """Run one controller until it is told to end; gives the exit status."""
-    return asyncio.run(_serve(plan, decider, library, member))
+    with asyncio.Runner(loop_factory=loop) as runner:
+        return runner.run(_serve(plan, decider, library, member, view, failover, steer))
--- /dev/null
+++ b/sprucespool/emulator/fleet.py
@@ -0,0 +1,421 @@
+"""Controllers with their view of the fleet in virtual time: a roster, invokers, forwards, faults; one seed, one course.
+
+The objects that run in the daemon (`Group`, `Fleet`) over links that fail. Which invoker a forward goes to is chosen
+plainly (by chance among those in service that are not doubted): what is compared is what controllers know.
+"""
+from __future__ import annotations
+
+import itertools
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+from sprucespool.emulator.group import Virtual
+from sprucespool.fleet import Codec, Fleet, FleetLimits, Listed, Note, Peer, Place, Send, Told
+from sprucespool.fleet.fleet import STATUS
+from sprucespool.judge import fleet as seen
+from sprucespool.judge.group import Began, Ended, Faulted
+from sprucespool.membership import Group, GroupLimits, Message
+from sprucespool.membership.messages import MOVES
+
+# A roster connection that was cut is known to be by then; one that broke at once. Both are tried again.
+CUT_KNOWN, AGAIN = 4_000.0, 400.0
+
+
+@dataclass(slots=True, eq=False)
+class Box:
+    """An invoker. `down_for` nobody: refuses connections. `hung`: takes forwards and answers none."""
+    name: str
+    address: str
+    zone: str
+    boot: str
+    born: float
+    up: bool = True
+    hung: bool = False
+    draining: bool = False
+    tells: bool = True
+
+
+@dataclass(slots=True)
+class Figures:
+    """What forwards met, by what the invoker was at the time."""
+    forwards: int = 0
+    returned: int = 0
+    refused: int = 0
+    timed_out: int = 0
+    # To a process of which some controller in the group had been told, for longer than the grace, that it was over.
+    to_ended: int = 0
+    none_left: int = 0
+    notes: int = 0
+    note_bytes: int = 0
+
+    def as_dict(self) -> dict[str, Any]:
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+@dataclass(slots=True, eq=False)
+class _Mind:
+    """What a controller goes by: places told, doubts told, and whom it set aside itself until when."""
+    places: dict[str, Place] = field(default_factory=dict)
+    doubted: set[str] = field(default_factory=set)
+    aside: dict[str, float] = field(default_factory=dict)
+    gap: dict[str, float] = field(default_factory=dict)
+    connected: bool = False
+    # Those in service and not doubted; None when that changed.
+    well: list[Place] | None = None
+
+
+class FleetWorld(Virtual):
+    """`share`: whether the fleets' notes are carried; without, each is alone with its roster and its own eyes."""
+
+    def __init__(self, size: int, boxes: int, seed: int = 1, share: bool = True, rate: float = 2.0, lag: float = 800.0,
+                 grace: float = 2_000.0, kind: type[Fleet] = Fleet, limits: GroupLimits | None = None,
+                 fleet_limits: FleetLimits | None = None, zones: int = 3, liars: int = 0,
+                 liar: type[Fleet] = Fleet, settled: bool = True, member: type[Group] = Group):
+        self.kind, self.fleet_limits, self.share, self.rate = kind, fleet_limits or FleetLimits(), share, rate
+        self.liars, self.liar, self.lag, self.extra, self.grace = liars, liar, lag, 0.0, grace
+        self.fleets: dict[Group, Fleet] = {}
+        self.minds: dict[Group, _Mind] = {}
+        self.fleet_due: dict[Group, float] = {}
+        self.numbers, self.boots = itertools.count(1), itertools.count(1)
+        self.out: dict[int, tuple[Group, Box, str]] = {}
+        self.figures = Figures()
+        self.noted: list[seen.Happened] = []
+        self.told: dict[tuple[str, str], float] = {}
+        self.version, self.roster_up = 0, True
+        self.rows: dict[str, Told] = {}
+        # Names that the roster pushes to; None stands for all.
+        self.only: set[str] | None = None
+        self.boxes: dict[str, Box] = {}
+        self.fleet_codec = Codec("virtual", "mark")
+        self.moments: list[Any] = []
+        self.usable: list[float] = []
+        self.streams: dict[Group, float] = {}
+        super().__init__(size, seed, zones, 0.0, limits, 3, member, settled)
+        for n in range(boxes):
+            box = Box(f"i{n}", f"w{n}", f"z{n % zones}", f"b{next(self.boots)}", -1e6)
+            self.boxes[box.address] = box
+            self.rows[box.address] = self._row(box)
+            self.noted.append(seen.Born(0.0, box.address, box.boot))
+        self.version = boxes
+        for one in list(self.members.values()):
+            self._connect(one)
+
+    # Controllers
+
+    def join(self, name: str, address: str, zone: str | None = None, seeds: list[str] | None = None, number: int = 0,
+             of: int = 1) -> Group:
+        one = super().join(name, address, zone, seeds, number, of)
+        kind = self.liar if number < self.liars else self.kind
+        fleet = kind((name, one.start), address, one.about.zone, self.seed * 7 + number, self.fleet_limits)
+        self.fleets[one], self.minds[one] = fleet, _Mind()
+        self.noted.append(Began(self.now, name))
+        self._later(self.chance.uniform(0, 100), lambda: self._fleet_tick(one))
+        self._later(self.chance.expovariate(self.rate) * 1000, lambda: self._forward(one))
+        if self.boxes:
+            self._connect(one)
+        return one
+
+    def settle(self) -> None:
+        super().settle()
+        for one in self.members.values():
+            self._peers(one)
+
+    def kill(self, name: str) -> Group:
+        one = super().kill(name)
+        self.noted.append(Ended(self.now, name, "killed"))
+        self.fleets.pop(one), self.minds.pop(one)
+        self.fleet_due.pop(one, None)
+        return one
+
+    def _drain(self, one: Group):
+        changed = False
+        for event in one.take_events():
+            self.watch(one, event)
+            changed = changed or event.kind in MOVES
+        if changed:
+            self._peers(one)
+
+    def _peers(self, one: Group):
+        if one in self.fleets:
+            self.fleets[one].set_peers([Peer(row.name, row.address) for row in one.live() if row.seat != one.me.seat])
+
+    # Notes
+
+    def _wrapped(self, one: Group, message: Message) -> Any:
+        if not self.share or one not in self.fleets:
+            return message
+        return message, self._weighed(one, self.fleets[one].cargo(self._time(one)))
+
+    def _weighed(self, one: Group, note: Note) -> bytes:
+        """As bytes, so that moments travel as ages here too."""
+        data = self.fleet_codec.encode(self._time(one), note)
+        self.figures.notes += 1
+        self.figures.note_bytes += len(data)
+        return data
+
+    def _delivered(self, one: Group, message: Any):
+        if not isinstance(message, tuple):
+            return super()._delivered(one, message)
+        said, data = message
+        if said is not None:
+            super()._delivered(one, said)
+        fleet = self.fleets.get(one)
+        if fleet is not None and self.share:
+            now = self._time(one)
+            self._fleet_do(one, fleet.heard(now, self.fleet_codec.decode(now, data)))
+
+    def _fleet_do(self, one: Group, sends: Iterable[Send]):
+        fleet, mind = self.fleets[one], self.minds[one]
+        if self.share:
+            for send in sends:
+                self.post(one.name, send.to, (None, self._weighed(one, send.note)))
+        for address in fleet.take_probes():
+            self._later(self.chance.uniform(2, 24), partial(self._probed, one, address))
+        places, doubts, events = fleet.take()
+        for place in places:
+            mind.places[place.address] = place
+        if places or doubts:
+            mind.well = None
+        for doubt in doubts:
+            (mind.doubted.add if doubt.ill else mind.doubted.discard)(doubt.address)
+        self.moments += [(one.name, event) for event in events]
+        due = max(self.now + 1.0, fleet.due() - self.clock.get(one.name, 0.0))
+        if due < self.fleet_due.get(one, math.inf) or self.fleet_due.get(one, math.inf) <= self.now:
+            self.fleet_due[one] = due
+
+            def act():
+                if self.fleet_due.get(one) == due:
+                    self._fleet_tick(one)
+            self._later(due - self.now, act)
+
+    def _fleet_tick(self, one: Group):
+        if one not in self.fleets:
+            return
+        if one.name in self.still:
+            return self._later(50.0, lambda: self._fleet_tick(one))
+        self.fleet_due.pop(one, None)
+        self._fleet_do(one, self.fleets[one].tick(self._time(one)))
+
+    # The roster
+
+    def _row(self, box: Box, gone: bool = False) -> Told:
+        listed = Listed.DRAINING if box.draining else Listed.IN_SERVICE
+        return Told((box.address, box.boot), listed, gone, box.zone, age=max(0.0, self.now - box.born))
+
+    def _reaches(self, one: Group) -> bool:
+        return (self.roster_up and (self.only is None or one.name in self.only)
+                and not self.links.between("roster", one.name).cut and not self.links.between(one.name, "roster").cut)
+
+    def publish(self, box: Box, gone: bool = False) -> None:
+        """The roster hears of it at once; controllers later, by the lag."""
+        row = self._row(box, gone)
+        after = self.lag * self.chance.uniform(0.7, 1.3) + self.extra
+        self._later(after, lambda: self._published(box, row))
+
+    def _published(self, box: Box, row: Told):
+        self.version += 1
+        known = self.rows.get(box.address)
+        if row.gone and known is not None and known.process == row.process:
+            del self.rows[box.address]
+        elif not row.gone:
+            self.rows[box.address] = row
+        for one in list(self.members.values()):
+            if self.minds[one].connected and self._reaches(one):
+                version = self.version
+                # A stream keeps its order.
+                due = max(self.now + self.chance.uniform(1, 25), self.streams.get(one, 0.0) + 0.01)
+                self.streams[one] = due
+                self._later(due - self.now, partial(self._tell, one, False, version, [row]))
+
+    def _tell(self, one: Group, whole: bool, version: int, rows: list[Told], source: str = "roster"):
+        fleet = self.fleets.get(one)
+        if fleet is None:
+            return
+        if one.name in self.still:
+            return self._later(50.0, lambda: self._tell(one, whole, version, rows, source))
+        for row in rows:
+            status = "gone" if row.gone else STATUS[row.listed]
+            self.noted.append(seen.WasTold(self.now, one.name, *row.process, status))
+            if status != "in service":
+                self.told.setdefault(row.process, self.now)
+        fleet.roster(self._time(one), whole, source, version, rows)
+        self._fleet_do(one, [])
+
+    def old_copy(self, names: Iterable[str], version: int, rows: list[Told]) -> None:
+        """A roster restored from an old copy tells these its whole list."""
+        for name in names:
+            self._tell(self.members[name], True, version, rows)
+
+    def _connect(self, one: Group):
+        if one not in self.minds or self.minds[one].connected:
+            return
+        if self._reaches(one):
+            self.minds[one].connected = True
+            self._tell(one, True, self.version, list(self.rows.values()))
+        else:
+            self._later(self.chance.uniform(0.5, 1.5) * AGAIN, lambda: self._connect(one))
+
+    def _break(self, one: Group):
+        if one in self.minds and self.minds[one].connected and not self._reaches(one):
+            self.minds[one].connected = False
+            self.fleets[one].roster_lost(self._time(one))
+            self._fleet_do(one, [])
+            self._connect(one)
+
+    def roster_down(self, down: bool = True) -> None:
+        self.roster_up = not down
+        for one in list(self.members.values()) if down else ():
+            self._later(self.chance.uniform(1, 50), partial(self._break, one))
+
+    def faulted(self, sides: list[list[str]] | None = None, uneven: bool = False) -> None:
+        """Links changed: the judge hears of it, broken roster connections are found out."""
+        self.noted.append(Faulted(self.now, sides or [], [], uneven))
+        self.links_changed()
+
+    def links_changed(self) -> None:
+        """Broken roster connections are found out after a while."""
+        for one in list(self.members.values()):
+            self._later(CUT_KNOWN * self.chance.uniform(0.5, 1.0), partial(self._break, one))
+
+    def part(self, sides: list[set[str]]) -> None:
+        """Controllers and the roster in parts that do not reach each other; invokers are reached by all."""
+        self.links.part("partition", sides)
+        names = set(self.members)
+        self.faulted([sorted(side & names) for side in sides if side & names])
+
+    def heal(self, name: str = "partition") -> None:
+        self.links.heal(name)
+        self.faulted()
+
+    # Invokers
+
+    def drain(self, box: Box, listed: bool = True) -> None:
+        box.draining = True
+        if listed:
+            self.publish(box)
+
+    def down(self, box: Box) -> None:
+        box.up = False
+        for number, (one, other, _) in list(self.out.items()):
+            if other is box:
+                del self.out[number]
+                self._later(self.chance.uniform(1, 25), partial(
+                    self._back, one, number, "reset", box.address, "", False, None))
+
+    def start(self, box: Box) -> None:
+        """Another process in its place."""
+        box.boot, box.born, box.up, box.draining, box.hung = f"b{next(self.boots)}", self.now, True, False, False
+        self.noted.append(seen.Born(self.now, box.address, box.boot))
+        self.publish(box)
+
+    def replace(self, box: Box, drain: float = 1_500.0, empty: float = 300.0) -> None:
+        """Told to drain, ends after `drain`, another stands there `empty` later."""
+        self.drain(box)
+
+        def ends():
+            self.down(box)
+            self._later(empty, lambda: self.start(box))
+        self._later(drain, ends)
+
+    # Forwards
+
+    def _usable(self, one: Group) -> list[Place]:
+        mind = self.minds[one]
+        if mind.well is None:
+            places = [place for place in mind.places.values() if place.status == "in service"]
+            well = [place for place in places if place.address not in mind.doubted]
+            mind.well = well if len(well) * 2 >= len(places) else places
+        if not mind.aside:
+            return mind.well
+        return [place for place in mind.well if mind.aside.get(place.address, -1.0) <= self.now] or mind.well
+
+    def _forward(self, one: Group):
+        if one not in self.minds:
+            return
+        self._later(self.chance.expovariate(self.rate) * 1000, lambda: self._forward(one))
+        if one.name in self.still or not self.minds[one].places:
+            return
+        usable = self._usable(one)
+        if not usable:
+            self.figures.none_left += 1
+            return
+        place = usable[self.chance.randrange(len(usable))]
+        box = self.boxes.get(place.address)
+        number, figures = next(self.numbers), self.figures
+        figures.forwards += 1
+        self.fleets[one].sent(self._time(one), number, place.address)
+        delay = self.chance.uniform(1, 12)
+        if box is None:
+            return self._later(delay, lambda: self._back(one, number, "unconnected", place.address, "", False, None))
+        self.out[number] = one, box, box.boot
+        self._later(delay, lambda: self._arrive(one, number, box, place))
+
+    def _arrive(self, one: Group, number: int, box: Box, place: Place):
+        if number not in self.out:
+            return
+        cut = self.links.between(one.name, box.name).cut or self.links.between(box.name, one.name).cut
+        if not cut:
+            self.noted.append(seen.Reached(self.now, one.name, box.address, box.boot if box.up else place.boot))
+        told = self.told.get((box.address, box.boot if box.up else place.boot))
+        self.figures.to_ended += told is not None and self.now > told + self.grace
+        if cut or box.hung and box.up:
+            self._later(2_500.0, lambda: self._back(one, number, "timed out", box.address, "", False, None))
+        elif not box.up:
+            self._later(5.0, lambda: self._back(one, number, "unconnected", box.address, "", False, None))
+        else:
+            boot, age = (box.boot, self.now - box.born) if box.tells else ("", None)
+            self._later(self.chance.uniform(40, 160), lambda: self._back(
+                one, number, "returned", box.address, boot, box.tells and box.draining, age))
+
+    def _probed(self, one: Group, address: str):
+        box = self.boxes.get(address)
+        if one in self.fleets and box is not None and box.up and box.tells and not box.hung and not (
+                self.links.between(one.name, box.name).cut):
+            self.fleets[one].probed(self._time(one), address, box.boot, box.draining, self.now - box.born)
+            self._fleet_do(one, [])
+
+    def _back(self, one: Group, number: int, outcome: str, address: str, boot: str, draining: bool, age: float | None):
+        known = self.out.pop(number, None)
+        if one not in self.fleets or known is None and outcome == "returned":
+            return
+        figures, mind = self.figures, self.minds[one]
+        figures.returned += outcome == "returned"
+        figures.refused += outcome in ("unconnected", "reset")
+        figures.timed_out += outcome == "timed out"
+        if outcome == "returned":
+            mind.aside.pop(address, None)
+            mind.gap.pop(address, None)
+        elif outcome in ("unconnected", "timed out"):
+            gap = mind.gap[address] = min(8_000.0, 2 * mind.gap.get(address, 500.0))
+            mind.aside[address] = self.now + gap
+        self.fleets[one].ended(self._time(one), number, outcome, boot, draining, age)
+        self._fleet_do(one, [])
+
+    # Looking
+
+    def fleet_alike(self, names: set[str] | None = None) -> bool:
+        return len({self.fleets[one].digest for name, one in self.members.items()
+                    if names is None or name in names}) == 1
+
+    def look(self) -> None:
+        """Note all views for the judge, and how much of the fleet they leave to choose from."""
+        serving = {box.address for box in self.boxes.values() if box.up and not box.draining and not box.hung}
+        open_to = [len({place.address for place in self._usable(one)} & serving) for one in self.members.values()]
+        self.usable.append(sum(open_to) / max(1, len(open_to) * len(serving)))
+        self.note_views()
+
+    def note_views(self) -> None:
+        for name, one in self.members.items():
+            fleet = self.fleets[one]
+            self.noted.append(seen.FleetView(self.now, name, f"{fleet.digest:016x}", [
+                (place.address, place.boot, place.status) for place in fleet.told.values()]))
+
+    def looking(self, every: float) -> None:
+        self.look()
+        self._later(every, lambda: self.looking(every))
+
+    def verdict(self, bounds: seen.FleetBounds) -> seen.FleetVerdict:
+        return seen.check(self.noted, bounds, self.now)
--- a/sprucespool/emulator/group.py
+++ b/sprucespool/emulator/group.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 from sprucespool.faults import Links, LinkState
 from sprucespool.membership import About, Codec, Event, Group, GroupLimits, Message, Say
@@ -32,6 +33,8 @@
         self.said = self.lost = self.bytes = self.weighed = 0
         self.codec = Codec("virtual", "mark")
         self.watch: Callable[[Group, Event], None] = lambda member, event: None
+        # A member's load and capacity, told as the daemon does with each tick.
+        self.load: Callable[[Group], tuple[float, ...]] | None = None
         self.zones = zones
         self.seeds = [f"a{n}" for n in range(min(seeds, size))]
         for n in range(size):
@@ -100,6 +103,8 @@
             return
         if one.name in self.still:
             return self._later(50.0, lambda: self._tick(one))
+        if self.load is not None:
+            one.weigh(self._time(one), self.load(one))
         self._send(one, one.tick(self._time(one)))
         self._drain(one)
         self._arm(one)
@@ -125,9 +130,16 @@
             if self.said % 50 == 0:
                 self.bytes += len(self.codec.encode(say.message))
                 self.weighed += 1
-            self.post(one.name, say.to, say.message)
+            self.post(one.name, say.to, self._wrapped(one, say.message))
 
-    def post(self, source: str, to: str, message: Message) -> None:
+    def _wrapped(self, one: Group, message: Message) -> Any:
+        """What goes out for a member's message: more than it, where something rides on it."""
+        return message
+
+    def _delivered(self, one: Group, message: Any):
+        self._send(one, one.heard(self._time(one), message))
+
+    def post(self, source: str, to: str, message: Any) -> None:
         """Also for what no member says: replayed messages and made-up ones."""
         target = self.by_address.get(to)
         state = self.links.between(source, target.name if target else to)
@@ -137,7 +149,7 @@
         after = state.delay + self.chance.random() * state.jitter + self.slow.get(target.name, 0.0)
         self._later(after, lambda: self._heard(to, message))
 
-    def _heard(self, to: str, message: Message):
+    def _heard(self, to: str, message: Any):
         one = self.by_address.get(to)
         if one is None or not self._running(one):
             return
@@ -145,7 +157,7 @@
             # It waits in the socket and is read when the process goes on.
             return self._later(50.0, lambda: self._heard(to, message))
         before = one.due()
-        self._send(one, one.heard(self._time(one), message))
+        self._delivered(one, message)
         self._drain(one)
         if one.due() < before:
             self._arm(one)
--- a/sprucespool/emulator/models.py
+++ b/sprucespool/emulator/models.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Hashable, Iterable
 from dataclasses import replace
 
+from sprucespool.failover import Ballot, Council, Keep, Plan, Word
+from sprucespool.fleet import Course, Fleet, Listed, Note, Record, Told
 from sprucespool.membership import About, Group, GroupLimits, Row, State
 from sprucespool.membership.rows import Phase
 from sprucespool.membership.shares import Shares
@@ -223,3 +225,208 @@
 def of_kind(world: Callable[..., object], **over):
     """A maker of worlds of that kind."""
     return lambda: world(**over)
+
+
+class ViewWorld:
+    """The view of one address among a few controllers, time left out. The roster's script: a process, its drain, its
+    end, another in its place; each controller's own connection is somewhere in it, may start over from an old copy,
+    break, or never come. What is told stays in the air: in any order, again, late, never. Both processes may tell who
+    they are."""
+    SCRIPT = ((False, "1", Listed.IN_SERVICE, False), (False, "1", Listed.DRAINING, False),
+              (False, "1", Listed.IN_SERVICE, True), (True, "2", Listed.IN_SERVICE, False))
+
+    def __init__(self, controllers: int = 2, kind: type[Fleet] = Fleet, told: int = 2):
+        self.kind, self.most_told, self.starts = kind, told, 0
+        self.fleets: dict[str, Fleet] = {}
+        self.at: dict[str, int] = {}
+        # What each was told by anybody: ends of the first process, the second one.
+        self.ended: dict[str, bool] = {}
+        self.replaced: dict[str, bool] = {}
+        self.air: list[tuple[Record, ...]] = []
+        self.sins = ""
+        self.names = [f"c{n}" for n in range(controllers)]
+        for name in self.names:
+            self._start(name)
+
+    def _start(self, name: str):
+        self.starts += 1
+        self.fleets[name] = self.kind((name, self.starts), f"at-{name}", "z")
+        self.at[name], self.ended[name], self.replaced[name] = 0, False, False
+
+    def moves(self) -> Iterable[Hashable]:
+        reached = max(self.at.values())
+        for name in self.names:
+            if self.at[name] < len(self.SCRIPT):
+                yield "roster", name
+            if self.at[name] > 1:
+                yield "old copy", name
+            yield "lost", name
+            if reached >= 4:
+                yield "sees", name, "2", False
+            elif reached >= 2:
+                yield "sees", name, "1", True
+            if len(self.air) < self.most_told and self.fleets[name].view.records:
+                yield "tell", name
+            for n in range(len(self.air)):
+                yield "hear", name, n
+            if self.starts < len(self.names) + 1:
+                yield "restart", name
+
+    def play(self, move: Hashable) -> None:
+        assert isinstance(move, tuple)
+        what, name = move[0], move[1]
+        one = self.fleets[name]
+        if what in ("roster", "old copy"):
+            step = self.at[name] if what == "roster" else 0
+            whole, boot, listed, gone = self.SCRIPT[step]
+            one.roster(0.0, whole or what == "old copy", "r", step + 1, [
+                Told(("w", boot), listed, gone, age=1_000.0 if boot == "1" else 10.0)])
+            self.at[name] = step + 1
+            self.ended[name] |= step in (1, 2)
+            self.replaced[name] |= step == 3
+        elif what == "lost":
+            one.roster_lost(0.0)
+        elif what == "sees":
+            one.probed(0.0, "w", move[2], move[3], 10.0)
+            self.ended[name] |= move[3]
+            self.replaced[name] |= move[2] == "2"
+        elif what == "tell":
+            self.air.append(tuple(one.view.records.values()))
+        elif what == "hear":
+            one.heard(0.0, Note("extra", ("c?", 1), "at-c?", one.digest, 0, self.air[move[2]]))
+            for record in self.air[move[2]]:
+                self.ended[name] |= record.process[1] == "1" and record.course() > Course.SERVING
+        else:
+            self._start(name)
+        one.take()
+        self._watch(name)
+
+    def _watch(self, name: str):
+        if self.fleets[name].course(("w", "2")) is not Course.SERVING:
+            self.sins = f"{name} takes the process that serves for one that is over"
+        place = self.fleets[name].told.get("w")
+        if place is None or place.boot != "1":
+            return
+        if self.ended[name] and place.status == "in service":
+            self.sins = f"{name} uses a process that it was told drains or is gone"
+        if self.replaced[name] and place.status != "gone":
+            self.sins = f"{name} holds a process in whose place it was told of another"
+
+    def key(self) -> Hashable:
+        return (tuple((name, repr(sorted(one.view.records.items())), one.live, one.version, one.whole_from,
+                       repr(sorted(one.own.items(), key=repr)), one.boots.get("w"), repr(one.told.get("w")),
+                       self.at[name], self.ended[name], self.replaced[name], one.me)
+                      for name, one in self.fleets.items()), repr(self.air), self.starts)
+
+    def wrong(self) -> str:
+        if self.sins:
+            return self.sins
+        # Whoever hears all of all holds the same.
+        merged: list[Fleet] = []
+        for reverse in (False, True):
+            one = self.kind(("m", 1), "at-m", "z")
+            for fleet in sorted(self.fleets.values(), key=lambda fleet: fleet.me, reverse=reverse):
+                one.heard(0.0, Note("extra", ("c?", 1), "at-c?", one.digest, 0, tuple(fleet.view.records.values())))
+            merged.append(one)
+        return "" if merged[0].digest == merged[1].digest else "told in another order it holds something else"
+
+
+class CouncilWorld:
+    """Voters and what is said between them, time left out: any may find its wait over, none is ever "quiet" too long, a
+    word may come in any order, twice, late, never; a voter may crash and come back with what it kept. A leader may
+    propose, and give one of `spares` a vote or take one away. What must not be: two leaders of a term, two plans of an
+    epoch, an epoch that goes back, a plan in force that a later one in force forgets."""
+
+    def __init__(self, voters: int = 3, kind: type[Council] = Council, words: int = 6, keeps: bool = True,
+                 asks: bool = True, crashes: int = 1, proposals: int = 2, spares: int = 0, reseats: int = 0):
+        self.reseats, self.reseated = reseats, 0
+        self.kind, self.most, self.keeps, self.asks = kind, words, keeps, asks
+        self.crashes, self.proposals = crashes, proposals
+        self.names = tuple(f"v{n}" for n in range(voters))
+        self.every = (*self.names, *(f"w{n}" for n in range(spares)))
+        self.disks: dict[str, Ballot] = {name: Ballot() for name in self.every}
+        self.councils = {name: self._new(name) for name in self.every}
+        self.air: list[tuple[str, Word]] = []
+        self.leaders: dict[int, str] = {}
+        self.plans: dict[tuple[int, int], Plan] = {}
+        self.highest: dict[str, tuple[int, int]] = {}
+        self.proposed = self.crashed = 0
+        self.sins = ""
+
+    def _new(self, name: str) -> Council:
+        one = self.kind(name, self.names, 1, self.disks[name] if self.keeps else Ballot())
+        one.begun_at, one.wait_until = 0.0, float("inf")
+        return one
+
+    def moves(self) -> Iterable[Hashable]:
+        for name, one in self.councils.items():
+            if one.role != "leader" and one.votes and len(self.air) < self.most:
+                yield "stand", name
+                if self.asks:
+                    yield "wait over", name
+            if one.role == "leader" and self.proposed < self.proposals and len(self.air) < self.most:
+                yield "propose", name
+            if one.role == "leader" and self.reseated < self.reseats and len(self.air) < self.most:
+                for other in self.every:
+                    if other != name:
+                        yield "reseat", name, other
+            if self.crashed < self.crashes:
+                yield "crash", name
+        for n in range(len(self.air)):
+            yield "hear", n
+
+    def play(self, move: Hashable) -> None:
+        assert isinstance(move, tuple)
+        what = move[0]
+        if what == "hear":
+            name, word = self.air[move[1]]
+            # Nobody's silence is counted here: a leader just heard may be voted out at any moment.
+            one = self.councils[name]
+            one.heard_at = one.lease_until = -1e9
+            effects = one.heard(0.0, word)
+        else:
+            name = move[1]
+            one = self.councils[name]
+            if what == "wait over":
+                effects = one._ask(0.0)
+            elif what == "stand":
+                # As if most had said that they would: the asking before it keeps terms low, no safety rests on it.
+                effects = one._stand(0.0)
+            elif what == "propose":
+                self.proposed += 1
+                effects = one.propose(0.0, Plan((0, 0), {"z": {"z": 1.0}}, {}, reason=f"{name} {self.proposed}"))
+            elif what == "reseat":
+                self.reseated += 1
+                effects = one.reseat(0.0, tuple(sorted(set(one.voters) ^ {move[2]})))
+            else:
+                self.crashed += 1
+                self.councils[name] = self._new(name)
+                effects = []
+        for effect in effects:
+            if isinstance(effect, Keep):
+                self.disks[name] = effect.ballot
+            else:
+                self.air.append((effect.to, effect.word))
+        self._watch(name)
+
+    def _watch(self, name: str):
+        one = self.councils[name]
+        if one.role == "leader":
+            before = self.leaders.setdefault(one.ballot.term, name)
+            if before != name:
+                self.sins = f"{before} and {name} lead in term {one.ballot.term}"
+        for plan in (one.plan, one.decided):
+            if plan is not None and self.plans.setdefault(plan.epoch, plan) != plan:
+                self.sins = f"two plans of epoch {plan.epoch}"
+        if one.decided is not None:
+            if one.decided.epoch < self.highest.get(name, (0, 0)) and self.crashed == 0:
+                self.sins = f"{name} went back to {one.decided.epoch}"
+            self.highest[name] = max(self.highest.get(name, (0, 0)), one.decided.epoch)
+
+    def key(self) -> Hashable:
+        held = [(name, one.role, one.ballot, one.leader, one.plan, one.decided, one.renewed, sorted(one.yes),
+                 sorted((n, sorted(who)) for n, who in one.answers.items())) for name, one in self.councils.items()]
+        return repr(held), repr(self.air), self.proposed, self.crashed, self.reseated
+
+    def wrong(self) -> str:
+        return self.sins
--- /dev/null
+++ b/sprucespool/emulator/plans.py
@@ -0,0 +1,555 @@
+"""Controllers that follow plans of zones in virtual time: invokers that queue, zones that are lost, links that fail.
+
+The objects that run in the daemon (`Group`, `Fleet`, `Failover`, `Steer`, `Meter`, `gauge`, `Spread`) over a world of
+invokers with cores and queues; from one seed, one course. Which invoker of a zone gets a forward is chosen plainly
+(fewest own in flight, ties by chance), alike for all deciders: what is compared is where traffic goes.
+
+`today`: the nearest zone where anything is usable, by own eyes and the fleet's view alone. `alone`: each controller
+plans for itself. `common`: the plan that the council has in force. `top`: the exact solver with perfect sight, at
+once.
+"""
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+from typing import Any
+
+from sprucespool.emulator.fleet import Box, FleetWorld
+from sprucespool.emulator.liars import LyingMeter
+from sprucespool.failover import (
+    Codec,
+    Failover,
+    Gauge,
+    GaugeLimits,
+    Keep,
+    Loaded,
+    Meter,
+    Pass,
+    Plan,
+    Planner,
+    PlannerLimits,
+    Reports,
+    Said,
+    Spread,
+    Standing,
+    Steer,
+    Tell,
+    Topology,
+    ZoneState,
+    near,
+)
+from sprucespool.failover.council import Ballot, Effect
+from sprucespool.fleet import Fleet, Place
+from sprucespool.judge import failover as judged
+from sprucespool.membership import Group, Message
+
+DECIDERS = ("today", "alone", "common", "top")
+SLO, TTL, GROUP = 600.0, 1_500.0, "line"
+TICK = 250.0
+
+
+@dataclass(slots=True)
+class Habits:
+    """Of the world: `load` is the part of all warm cores that clients ask; the part of it that stays in its region."""
+    cores: int = 2
+    queue: int = 12
+    run: tuple[float, float] = (80.0, 240.0)
+    load: float = 0.5
+    stays: float = 0.1
+    cold_share: float = 0.25
+    warm_after: float = 15_000.0
+
+
+@dataclass(slots=True, eq=False)
+class _Part:
+    """One controller's part of failover."""
+    failover: Failover
+    steer: Steer
+    meter: Meter
+    spread: Spread
+    planner: Planner
+    gauge: Gauge
+    plan: Plan
+    reports: Reports = field(default_factory=Reports)
+    own: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Came:
+    """What came of a run. `worst_10s`: the least service of ten seconds; `zones`: service by zone of clients. Times in
+    ms."""
+    decider: str
+    seed: int
+    asked: int
+    service: float
+    worst_10s: float
+    shed: float
+    crossed: float
+    zones: dict[str, float]
+    settled: float | None
+    near: float | None
+    plans: int
+    broken: list[str]
+
+
+class PlanWorld(FleetWorld):
+    """`size` controllers and `boxes` invokers in `zones` zones of `regions` regions."""
+
+    def __init__(self, size: int, boxes: int, seed: int = 1, decider: str = "common", zones: int = 6, regions: int = 3,
+                 habits: Habits | None = None, kind: type[Failover] = Failover, steer: type[Steer] = Steer,
+                 limits: PlannerLimits | None = None, voters: int = 3, replace_after: float = 30_000.0,
+                 fleet: type[Fleet] = Fleet, **more: Any):
+        if decider not in DECIDERS:
+            raise ValueError(f"decider: expected one of {', '.join(DECIDERS)}, got {decider!r}")
+        self.decider, self.habits, self.failover_kind, self.steer_kind = decider, habits or Habits(), kind, steer
+        self.topology = Topology({f"z{n}": f"r{n % regions}" for n in range(zones)})
+        self.planner_limits = limits or PlannerLimits()
+        self.plan_codec = Codec("virtual", "mark")
+        self.voters = tuple(f"c{n}" for n in range(voters))
+        self.replace_after = replace_after
+        self.parts: dict[Group, _Part] = {}
+        self.ballots: dict[str, Ballot] = {}
+        self.queues: dict[str, deque[float]] = {}
+        self.asked: list[tuple[float, str, bool]] = []
+        self.reached: list[judged.Reached] = []
+        self.views: list[judged.PlanView] = []
+        # Each controller's clients have a course of their own, so that all deciders meet the same.
+        self.clients: dict[str, random.Random] = {}
+        self.shed, self.last_fault, self.first_fault = 0, 0.0, float("inf")
+        # By zone: how much more its clients ask than at first; how much slower its invokers work.
+        self.grown: dict[str, float] = {}
+        self.fulls: dict[str, float] = {}
+        self.slowed: dict[str, float] = {}
+        mean = sum(self.habits.run) / 2
+        rate = self.habits.load * boxes * self.habits.cores / (mean / 1000.0) / size
+        self.sight: dict[str, ZoneState] = {}
+        super().__init__(size, boxes, seed, True, rate, kind=fleet, zones=zones, **more)
+        self.load = lambda one: self.parts[one].meter.figures(self.now) if one in self.parts else ()
+        self.latency: dict[tuple[str, str], tuple[float, float]] = {}
+        for one, other in ((a, b) for a in self.topology.zones for b in self.topology.zones if a < b):
+            same = self.topology.same_region(one, other)
+            self.latency[one, other] = self.latency[other, one] = (1.0, 3.0) if same else (8.0, 14.0)
+        self._later(0.0, self._see_all)
+
+    def join(self, name: str, address: str, zone: str | None = None, seeds: list[str] | None = None, number: int = 0,
+             of: int = 1) -> Group:
+        one = super().join(name, address, zone, seeds, number, of)
+        kept = self.ballots.get(name, Ballot() if name in self.voters else None)
+        where = one.about.zone
+        self.parts[one] = _Part(
+            self.failover_kind(name, self.topology, self.voters, kept, self.seed * 31 + number,
+                               planner_limits=self.planner_limits, replace_after=self.replace_after),
+            self.steer_kind(where, self.topology), Meter(where), Spread(self.seed * 37 + number),
+            Planner(self.topology, self.planner_limits),
+            Gauge(self.topology, GaugeLimits(self.habits.cold_share, self.habits.warm_after)),
+            near(self.topology.zones))
+        self._later(self.chance.uniform(0, TICK), lambda: self._plan_tick(one))
+        return one
+
+    def kill(self, name: str) -> Group:
+        one = super().kill(name)
+        self.parts.pop(one)
+        return one
+
+    # What rides, and what is told by itself
+
+    def _wrapped(self, one: Group, message: Message) -> Any:
+        wrapped = super()._wrapped(one, message)
+        if self.decider != "common" or one not in self.parts:
+            return wrapped
+        failover = self.parts[one].failover
+        return (*wrapped, self.plan_codec.encode(Said(
+            one.name, failover.epoch, None, failover.council.renewal(self._time(one)))))
+
+    def _delivered(self, one: Group, message: Any):
+        if isinstance(message, Said):
+            return self._plan_heard(one, message)
+        if isinstance(message, tuple) and len(message) == 3:
+            super()._delivered(one, message[:2])
+            return self._plan_heard(one, self.plan_codec.decode(message[2]))
+        super()._delivered(one, message)
+
+    def _plan_heard(self, one: Group, said: Said):
+        part, now = self.parts.get(one), self._time(one)
+        if part is None:
+            return
+        if said.renewal is not None:
+            part.failover.rode(now, said.renewal)
+            self._pass(one, Spread.on(said.renewal, said.pass_on))
+        if said.figures:
+            if any(row.name == said.sender for row in one.live()):
+                part.reports.heard(now, said.sender, said.figures)
+        if said.word is not None:
+            self._plan_do(one, part.failover.heard(now, said.word))
+
+    def _pass(self, one: Group, passes: list[Pass]):
+        for passed in passes:
+            self.post(one.name, passed.to, Said(one.name, (0, 0), None, passed.renewal, passed.pass_on))
+
+    def _plan_do(self, one: Group, effects: list[Effect]):
+        for effect in effects:
+            if isinstance(effect, Keep):
+                self.ballots[one.name] = effect.ballot
+            elif isinstance(effect, Tell):
+                row = self.members.get(effect.to)
+                if row is not None:
+                    self.post(one.name, row.address, Said(one.name, (0, 0), effect.word))
+
+    # A controller's part
+
+    def states(self, one: Group) -> dict[str, ZoneState]:
+        now, fleet = self._time(one), self.fleets[one]
+        standing = [Standing(place.zone, place.size * self.habits.cores,
+                             None if place.born is None else now - place.born, place.address in fleet.doubted)
+                    for place in fleet.told.values() if place.status == "in service"]
+        loaded = [Loaded(one.about.zone, *self.parts[one].meter.figures(now))]
+        part = self.parts[one]
+        for row in one.live():
+            told = part.reports.of(now, row.name, row.figures)
+            if row.seat != one.me.seat and len(told) == 5:
+                free, bound, did, well, soon = told
+                loaded.append(Loaded(row.about.zone, free, bound, did, well, soon, row.name))
+        plan = part.plan if self.decider == "alone" else part.failover.council.in_force(now)
+        return part.gauge.states(now, standing, loaded, plan)
+
+    def _plan_tick(self, one: Group):
+        if one not in self.parts:
+            return
+        self._later(TICK, lambda: self._plan_tick(one))
+        if one.name in self.still or self.decider in ("today", "top"):
+            return
+        part, now = self.parts[one], self._time(one)
+        council = part.failover.council
+        if self.decider == "alone" or council.votes or council.in_force(now) is None or not int(now / TICK) % 8:
+            # Who only follows needs them for its own safety alone: looked at now and then.
+            states = self.states(one)
+            part.steer.serves = frozenset(zone for zone, state in states.items() if state.now > 0) or None
+            part.failover.know(now, states)
+            part.failover.know_members({row.name: row.about.zone for row in one.live()})
+            if self.decider == "alone":
+                part.plan = part.planner.next(now, states, part.plan) or part.plan
+        if self.decider == "common":
+            news = part.meter.news(now)
+            for voter in council.voters:
+                if news is not None and voter in self.members and voter != one.name:
+                    self.post(one.name, self.members[voter].address, Said(one.name, (0, 0), figures=news))
+            self._plan_do(one, part.failover.tick(now))
+            if council.leads(now):
+                self._pass(one, part.spread.lead(now, council.renewal(now), [
+                    row.address for row in one.live() if row.seat != one.me.seat]))
+
+    def _see_all(self):
+        """Perfect sight, for `top`."""
+        self._later(TICK, self._see_all)
+        if self.decider != "top":
+            return
+        cores = dict.fromkeys(self.topology.zones, 0.0)
+        for box in self.boxes.values():
+            if box.up and not box.hung and not box.draining:
+                cores[box.zone] += self._speed(box) * self.habits.cores
+        alive: dict[str, int] = {}
+        for member in self.members.values():
+            alive[member.about.zone] = alive.get(member.about.zone, 0) + 1
+        mean = sum(self.habits.run) / 2_000.0
+        self.sight = {}
+        for zone in self.topology.zones:
+            asked = alive.get(zone, 0) * self.rate * self.grown.get(zone, 1.0) * mean
+            self.sight[zone] = ZoneState(zone, cores[zone], cores[zone], asked * (1 - self.habits.stays),
+                                         asked * self.habits.stays)
+        free, bound, caps, _ = Planner(self.topology, self.planner_limits).target(self.sight)
+        plan = Plan((1, 1), free, bound, caps)
+        for part in self.parts.values():
+            part.plan = plan
+
+    def _zones(self, one: Group, bound: bool) -> tuple[str, ...]:
+        part, now = self.parts[one], self._time(one)
+        if self.decider == "today":
+            return tuple(self.topology.zones) if not bound else tuple(
+                zone for zone in self.topology.zones if self.topology.same_region(zone, one.about.zone))
+        plan = part.failover.follow(now) if self.decider == "common" else part.plan
+        return part.steer.zones(now, plan, bound, 1.0)
+
+    # Inferences
+
+    def _forward(self, one: Group):
+        if one not in self.minds:
+            return
+        rate = self.rate * self.grown.get(one.about.zone, 1.0)
+        clients = self.clients.setdefault(one.name, random.Random(f"{self.seed} {one.name}"))
+        self._later(clients.expovariate(rate) * 1000, lambda: self._forward(one))
+        bound, work = clients.random() < self.habits.stays, clients.uniform(*self.habits.run)
+        if one.name in self.still or not self.minds[one].places:
+            return
+        self.parts[one].meter.arrived(self._time(one), GROUP, bound, sum(self.habits.run) / 2)
+        self._try(one, self._zones(one, bound), bound, work, self.now, 0)
+
+    def _try(self, one: Group, zones: tuple[str, ...], bound: bool, work: float, since: float, nth: int):
+        if one not in self.minds:
+            return
+        home, own = one.about.zone, self.parts[one].own
+        usable = [place for place in self._usable(one) if place.zone in (
+            zones if nth or self.decider == "today" else zones[:1]) and self.fulls.get(place.address, 0.0) <= self.now]
+        if not usable or nth > 1 or self.now - since > SLO:
+            self.shed += not usable
+            return self.asked.append((since, home, False))
+        if self.decider == "today":
+            near_by = min(self.topology.cost(home, place.zone) for place in usable)
+            usable = [place for place in usable if self.topology.cost(home, place.zone) <= near_by]
+        least = min(own.get(place.address, 0) for place in usable)
+        usable = [place for place in usable if own.get(place.address, 0) == least]
+        place = usable[self.chance.randrange(len(usable))]
+        own[place.address] = own.get(place.address, 0) + 1
+        box, number = self.boxes.get(place.address), next(self.numbers)
+        self.figures.forwards += 1
+        self.fleets[one].sent(self._time(one), number, place.address)
+        least_way, most_way = self.latency.get((home, place.zone), (0.5, 1.5))
+        way = self.chance.uniform(least_way, most_way)
+        then = partial(self._ended, one, number, place, bound, work, since, nth, zones)
+        if box is not None:
+            self.out[number] = one, box, box.boot
+            self._later(way, lambda: self._at_box(one, number, box, bound, work, nth, way, then))
+
+    def _speed(self, box: Box) -> float:
+        grown = min(1.0, max(0.0, self.now - box.born) / self.habits.warm_after)
+        return (self.habits.cold_share + (1 - self.habits.cold_share) * grown) / self.slowed.get(box.zone, 1.0)
+
+    def _at_box(self, one: Group, number: int, box: Box, bound: bool, work: float, nth: int, way: float,
+                then: Callable[[str, float], None]):
+        if number not in self.out:
+            return then("reset", 0.0)
+        if self.links.between(one.name, box.name).cut or self.links.between(box.name, one.name).cut or box.hung:
+            return self._later(TTL - SLO, lambda: then("timed out", 0.0))
+        if not box.up:
+            return self._later(way, lambda: then("unconnected", 0.0))
+        self.reached.append(judged.Reached(self.now, one.name, one.about.zone, box.zone, work, bound, nth > 0))
+        ends = self.queues.setdefault(box.address, deque())
+        while ends and ends[0] <= self.now:
+            ends.popleft()
+        if len(ends) >= self.habits.queue:
+            return self._later(way, lambda: then("full", 0.0))
+        # Earliest free core of those taken: the queue holds when each of what is there ends.
+        busy = sorted(ends)
+        begins = self.now if len(busy) < self.habits.cores else busy[len(busy) - self.habits.cores]
+        done = begins + work / self._speed(box)
+        ends.append(done)
+        if len(ends) > 1 and ends[-2] > done:
+            self.queues[box.address] = deque(sorted(ends))
+        self._later(done - self.now + way, lambda: then("returned", done - self.now))
+
+    def _ended(self, one: Group, number: int, place: Place, bound: bool, work: float, since: float, nth: int,
+               zones: tuple[str, ...], outcome: str, ran: float):
+        if number in self.out:
+            del self.out[number]
+        elif outcome == "returned":
+            outcome = "reset"
+        part = self.parts.get(one)
+        if part is None:
+            return
+        part.own[place.address] -= 1
+        now, well = self._time(one), outcome == "returned"
+        self.figures.returned += well
+        self.figures.refused += outcome in ("unconnected", "reset")
+        self.figures.timed_out += outcome == "timed out"
+        mind, box = self.minds[one], self.boxes[place.address]
+        if outcome == "full":
+            # As the module does: no more there for about a run, by any of its inferences.
+            self.fulls[place.address] = self.now + sum(self.habits.run) / 4
+        if well or outcome == "full":
+            mind.aside.pop(place.address, None)
+            mind.gap.pop(place.address, None)
+        else:
+            gap = mind.gap[place.address] = min(8_000.0, 2 * mind.gap.get(place.address, 500.0))
+            mind.aside[place.address] = self.now + gap
+        self.fleets[one].ended(now, number, outcome, *((box.boot, box.draining, self.now - box.born)
+                                                       if well else ("", False, None)))
+        self._fleet_do(one, [])
+        part.steer.ended(now, place.zone, well or outcome == "full")
+        part.meter.ended(now, GROUP, place.zone, self.now - since, well, True, SLO)
+        if well:
+            return self.asked.append((since, one.about.zone, self.now - since <= SLO))
+        # What is turned away as full stays in its zone: those that the plan names next are no overflow.
+        self._try(one, zones[:1] if outcome == "full" and self.decider != "today" else zones, bound, work, since,
+                  nth + 1)
+
+    # Faults
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        """A fault, or its end, at `when` of the world's time."""
+        def happen():
+            act()
+            self.last_fault = self.now
+        self.first_fault = min(self.first_fault, when)
+        self._later(when - self.now, happen)
+
+    def lose(self, zones: set[str]) -> None:
+        """All invokers of the zones are gone at once."""
+        for box in self.boxes.values():
+            if box.zone in zones and box.up:
+                self.down(box)
+                self._later(500.0, partial(self._found_gone, box, box.boot))
+
+    def _found_gone(self, box: Box, boot: str):
+        if not box.up and box.boot == boot:
+            self.publish(box, gone=True)
+
+    def give_back(self, zones: set[str]) -> None:
+        """They start anew, cold."""
+        for box in self.boxes.values():
+            if box.zone in zones and not box.up:
+                self.start(box)
+
+    def hold(self, names: set[str], held: bool) -> None:
+        self.still = self.still | names if held else self.still - names
+
+    # Looking
+
+    def look(self) -> None:
+        for name, one in self.members.items():
+            part, now = self.parts[one], self._time(one)
+            plan = part.failover.council.in_force(now) if self.decider == "common" else None
+            if plan is not None:
+                self.views.append(judged.PlanView(self.now, name, one.start, plan.epoch, str((
+                    plan.free, plan.bound, plan.caps)), plan.caps))
+            else:
+                self.views.append(judged.PlanView(self.now, name, one.start, (0, 0), ""))
+
+    def came(self, bounds: judged.FailoverBounds | None = None) -> Came:
+        begin = 3_000.0
+        told = replace(bounds or judged.FailoverBounds(),
+                       regions=self.topology.regions, calm_from=begin, calm_until=min(self.first_fault, self.now),
+                       last_fault=self.last_fault, live=frozenset(self.members))
+        verdict = judged.check(self.views if self.decider == "common" else [], self.reached, told, self.now)
+        broken = [one for one in verdict.broken if self.decider == "common" or one.which == "d"]
+        asked = [one for one in self.asked if one[0] >= begin]
+        span = [[0, 0] for _ in range(int(self.now / 1000.0) + 1)]
+        by_zone: dict[str, list[int]] = {zone: [0, 0] for zone in self.topology.zones}
+        for at, zone, good in asked:
+            for found in (span[int(at / 1000.0)], by_zone[zone]):
+                found[0] += good
+                found[1] += 1
+        tens = [(sum(one[0] for one in span[n:n + 10]), sum(one[1] for one in span[n:n + 10]))
+                for n in range(int(begin / 1000.0), len(span) - 11)]
+        return Came(self.decider, self.seed, len(asked), sum(good for *_, good in asked) / max(1, len(asked)),
+                    min((good / of for good, of in tens if of), default=1.0), self.shed / max(1, len(asked)),
+                    verdict.crossed, {zone: round(good / max(1, of), 4) for zone, (good, of) in by_zone.items()},
+                    verdict.settled, verdict.near, verdict.plans,
+                    [f"({one.which}) {one.what}" for one in broken])
+
+
+def zone_lost(world: PlanWorld, span: float = 30_000.0) -> None:
+    world.at(10_000.0, lambda: world.lose({"z0"}))
+    world.at(10_000.0 + span, lambda: world.give_back({"z0"}))
+
+
+def region_lost(world: PlanWorld) -> None:
+    world.at(10_000.0, lambda: world.lose({"z0", "z3"}))
+    world.at(40_000.0, lambda: world.give_back({"z0", "z3"}))
+
+
+def flapping(world: PlanWorld) -> None:
+    for n in range(8):
+        world.at(10_000.0 + 4_000.0 * n, lambda: world.lose({"z0"}))
+        world.at(12_000.0 + 4_000.0 * n, lambda: world.give_back({"z0"}))
+
+
+def grey(world: PlanWorld) -> None:
+    """Ten times slower, and half of what runs there hangs; health is fine."""
+    def on():
+        world.slowed["z0"] = 10.0
+        for n, box in enumerate(one for one in world.boxes.values() if one.zone == "z0"):
+            box.hung = n % 2 == 0
+
+    def off():
+        world.slowed.pop("z0")
+        for box in world.boxes.values():
+            box.hung = False
+    world.at(10_000.0, on)
+    world.at(40_000.0, off)
+
+
+def rising(world: PlanWorld) -> None:
+    """Load rises to 1.2 of what is left while a zone is lost."""
+    def more(factor: float):
+        world.grown.update(dict.fromkeys(world.topology.zones, factor))
+    zone_lost(world)
+    world.at(15_000.0, lambda: more(1.2 / world.habits.load * (1 - 1 / len(world.topology.zones))))
+    world.at(30_000.0, lambda: more(1.0))
+
+
+def makers_lost(world: PlanWorld) -> None:
+    """The controllers that made the plan die as a zone is lost; another zone a second later; they come back."""
+    zone_lost(world)
+    def die():
+        for name in ("c0", "c1"):
+            world.kill(name)
+
+    def come_back():
+        for n in (0, 1):
+            world.join(f"c{n}", f"a{n}", f"z{n}", number=n, of=len(world.members) + 1)
+    world.at(10_500.0, die)
+    world.at(11_000.0, lambda: world.lose({"z1"}))
+    world.at(25_000.0, come_back)
+    world.at(40_000.0, lambda: world.give_back({"z1"}))
+
+
+def makers_held(world: PlanWorld) -> None:
+    """They are stopped for 5 s and wake with an old lease."""
+    zone_lost(world)
+    world.at(10_500.0, lambda: world.hold({"c0", "c1", "c2"}, True))
+    world.at(15_500.0, lambda: world.hold({"c0", "c1", "c2"}, False))
+
+
+def halves(world: PlanWorld) -> None:
+    """Both sides think that the other is gone; a zone is lost meanwhile, the roster dark."""
+    def side(n: int) -> set[str]:
+        return {name for name, one in world.members.items() if int(one.about.zone[1:]) % 2 == n}
+    world.at(10_000.0, lambda: world.part([side(0), side(1)]))
+    world.at(11_000.0, lambda: world.roster_down())
+    world.at(12_000.0, lambda: world.lose({"z1"}))
+    world.at(32_000.0, lambda: world.roster_down(False))
+    world.at(32_000.0, lambda: world.heal())
+    world.at(40_000.0, lambda: world.give_back({"z1"}))
+
+
+def clocks(world: PlanWorld) -> None:
+    """Clocks of a third jump minutes ahead, one of a voter among them, while a zone is lost."""
+    zone_lost(world)
+    world.at(12_000.0, lambda: world.clock.update({f"c{n}": 180_000.0 for n in range(0, len(world.members), 3)}))
+
+
+def voters_lost(world: PlanWorld) -> None:
+    """Two of three voters die for good, one long after the other; then a zone is lost."""
+    def die(name: str):
+        world.kill(name)
+    world.at(10_000.0, partial(die, "c0"))
+    world.at(35_000.0, partial(die, "c1"))
+    world.at(50_000.0, lambda: world.lose({"z3"}))
+    world.at(60_000.0, lambda: world.give_back({"z3"}))
+
+
+def liar(world: PlanWorld) -> None:
+    """One says that its zone is asked a million cores, and that home answers nothing."""
+    def lie():
+        one = world.members["c6"]
+        world.parts[one].meter = LyingMeter(one.about.zone)
+    world.at(8_000.0, lie)
+    zone_lost(world)
+
+
+CASES: dict[str, Callable[[PlanWorld], None]] = {
+    "quiet": lambda world: None, "zone lost 5 s": lambda world: zone_lost(world, 5_000.0), "zone lost 30 s": zone_lost,
+    "region lost": region_lost, "flapping": flapping, "grey zone": grey, "load to 1.2 of what is left": rising,
+    "makers lost": makers_lost, "makers held": makers_held, "halves": halves, "clocks": clocks, "liar": liar,
+    "voters lost": voters_lost}
+
+
+def play(case: str, decider: str, seed: int = 1, size: int = 60, boxes: int = 36, span: float = 75_000.0,
+         every: float = 1_000.0, bounds: judged.FailoverBounds | None = None, **more: Any) -> Came:
+    world = PlanWorld(size, boxes, seed, decider, **more)
+    world.looking(every)
+    CASES[case](world)
+    world.run(span)
+    return world.came(bounds)
--- /dev/null
+++ b/sprucespool/failover/council.py
@@ -0,0 +1,399 @@
+"""How a plan is decided in common: a few voters elect one who proposes; what most of them hold is in force. No I/O.
+
+Not a log: only the newest plan matters. After Raft's elections (Ongaro, Ousterhout, USENIX ATC 2014) with its pre-
+vote and leader leases; the plan is one register whose value goes by epoch (term, number). Why at most one plan has
+an epoch: a term has one leader, as a voter gives one vote a term and keeps it on disk before it says so; and a
+leader numbers its plans. Why an older plan never replaces a newer one: nobody goes to a lower epoch, and a plan is
+in force only when most voters hold it, of whom any later leader must have asked one. Nobody waits for any of this
+before answering an inference.
+
+Who has a vote stands in the files at first, and is changed one name at a time (`reseat`; Ongaro's thesis, 2014, chapter
+4): two following sets of voters have no majorities apart, the next change waits until most hold the one before, and
+nobody votes for who knows an older set. Each leader states the set anew in its own term before it changes it, so that
+what an earlier one began and most never held is outvoted.
+
+Time enters at two places only, and no safety rests on either: voters that heard a leader a moment ago elect no
+other, and whoever hears no renewal for `hold` falls back to a safe plan. Call `tick` when `due` has come and
+`heard` for each message; `propose` at the leader. Effects come back in order: `Keep` must be on disk before what
+follows it is sent.
+"""
+from __future__ import annotations
+
+import math
+import zlib
+from dataclasses import dataclass, field, replace
+from typing import Literal
+
+from sprucespool.failover.plan import Plan
+
+Kind = Literal["may", "might", "vote", "voted", "beat", "held"]
+NOBODY = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Seats:
+    """Who has a vote, as stated in an epoch; the files' set is of (0, 0)."""
+    epoch: tuple[int, int] = (0, 0)
+    voters: tuple[str, ...] = ()
+
+    @property
+    def majority(self) -> int:
+        return len(self.voters) // 2 + 1
+
+
+@dataclass(frozen=True, slots=True)
+class Ballot:
+    """What a voter must never forget: the highest term it knows, whom it gave its vote in it, who has a vote. Without
+    voters: those of the files."""
+    term: int = 0
+    voted: str = NOBODY
+    seats: Seats = Seats()
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """Between voters. `may`: would you elect me in this term; `might`: yes; `vote`, `voted`: the same in earnest;
+    `beat`: I lead, this is my plan; `held`: I hold it. `number` joins a held to its beat. `seats` as the sender knows
+    them."""
+    kind: Kind
+    sender: str
+    term: int
+    number: int = 0
+    plan: Plan | None = None
+    # Of a beat: the newest plan that most hold, and how often that was renewed.
+    decided: tuple[int, int] = (0, 0)
+    renewed: int = 0
+    seats: Seats = Seats()
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    ballot: Ballot
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    to: str
+    word: Word
+
+
+Effect = Keep | Tell
+
+
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """Rides to all controllers: the plan in force and how often it was renewed; `age` of the renewal in ms."""
+    plan: Plan
+    renewed: int
+    age: float
+    seats: Seats = Seats()
+
+
+@dataclass(frozen=True, slots=True)
+class CouncilLimits:
+    """Times in ms. `drift`: how much faster one clock may run than another."""
+    beat: float = 500.0
+    least_wait: float = 1_500.0
+    most_wait: float = 3_000.0
+    lease: float = 1_400.0
+    drift: float = 0.05
+    # Without a renewal for so long a controller goes by the safe plan.
+    hold: float = 8_000.0
+    # A voter that lost what it kept gives no vote before, so that any term it may have voted in is over.
+    forgetful: float = 10_000.0
+
+
+@dataclass(slots=True, eq=False)
+class Council:
+    """One controller's part; `voters` are names: at first the files', then those in office. Who is not among them only
+    follows. `kept`: what was on disk, None where nothing was."""
+    name: str
+    voters: tuple[str, ...]
+    seed: int = 1
+    kept: Ballot | None = None
+    limits: CouncilLimits = field(default_factory=CouncilLimits)
+    now: float = 0.0
+    role: str = "follower"
+    ballot: Ballot = Ballot()
+    leader: str = NOBODY
+    # The newest plan held, whoever decided it; the one in force here, and its renewals.
+    plan: Plan | None = None
+    decided: Plan | None = None
+    renewed: int = 0
+    renewed_at: float = -math.inf
+    heard_at: float = -math.inf
+    begun_at: float = math.nan
+    wait_until: float = math.inf
+    beat_at: float = math.inf
+    number: int = 0
+    drawn: int = 0
+    yes: set[str] = field(default_factory=set)
+    # At the leader: beats that are out, when each was sent, who answered.
+    beats: dict[int, tuple[float, tuple[int, int]]] = field(default_factory=dict)
+    answers: dict[int, set[str]] = field(default_factory=dict)
+    lease_until: float = -math.inf
+    # At the leader: the newest set of voters that most of it hold.
+    seated: tuple[int, int] = (-1, -1)
+
+    def __post_init__(self):
+        self.ballot = self.kept or Ballot()
+        if not self.ballot.seats.voters:
+            self.ballot = replace(self.ballot, seats=Seats((0, 0), self.voters))
+        self.voters = self.seats.voters
+
+    # Reading
+
+    @property
+    def votes(self) -> bool:
+        return self.name in self.voters
+
+    @property
+    def seats(self) -> Seats:
+        return self.ballot.seats
+
+    @property
+    def majority(self) -> int:
+        return self.seats.majority
+
+    def leads(self, now: float) -> bool:
+        """Most voters heard this leader a moment ago, by its own clock from when it spoke."""
+        return self.role == "leader" and now < self.lease_until
+
+    def in_force(self, now: float) -> Plan | None:
+        """The plan to follow, or None: then go by the safe one."""
+        return self.decided if self.decided is not None and now - self.renewed_at < self.limits.hold else None
+
+    def renewal(self, now: float) -> Renewal | None:
+        """What rides to all others."""
+        if self.decided is None or now - self.renewed_at >= self.limits.hold:
+            return None
+        return Renewal(self.decided, self.renewed, max(0.0, now - self.renewed_at), self.seats)
+
+    def due(self) -> float:
+        # Who lost its vote has nothing to wait for: a wait of before would be due for ever.
+        return min(self.wait_until, self.beat_at) if self.votes else math.inf
+
+    # Time
+
+    def _chance(self, span: float) -> float:
+        self.drawn += 1
+        return span * (zlib.crc32(b"%d:%s:%d" % (self.seed, self.name.encode(), self.drawn)) / 2**32)
+
+    def _wait(self, now: float):
+        limits = self.limits
+        self.wait_until = now + limits.least_wait + self._chance(limits.most_wait - limits.least_wait)
+
+    def tick(self, now: float) -> list[Effect]:
+        self.now = now = max(self.now, now)
+        if not self.votes:
+            return []
+        if math.isnan(self.begun_at):
+            self.begun_at = now
+            self._wait(now)
+        if self.role == "leader":
+            if now >= self.lease_until + self.limits.lease:
+                # Most have not answered for long: there may be another by now.
+                return self._step_down(now)
+            return self._beat(now) if now >= self.beat_at else []
+        if now >= self.wait_until:
+            self._wait(now)
+            return self._ask(now)
+        return []
+
+    def _may_vote(self, now: float) -> bool:
+        return self.kept is not None or now - self.begun_at >= self.limits.forgetful
+
+    def _ask(self, now: float) -> list[Effect]:
+        """First whether others would: who is cut off raises no terms."""
+        if not self._may_vote(now):
+            return []
+        self.role, self.leader, self.yes = "asking", NOBODY, {self.name}
+        word = Word("may", self.name, self.ballot.term + 1, seats=self.seats)
+        return self._to_others(word) + (self._stand(now) if len(self.yes) >= self.majority else [])
+
+    def _stand(self, now: float) -> list[Effect]:
+        self.role, self.yes = "candidate", {self.name}
+        self._keep(replace(self.ballot, term=self.ballot.term + 1, voted=self.name))
+        effects: list[Effect] = [Keep(self.ballot), *self._to_others(
+            Word("vote", self.name, self.ballot.term, seats=self.seats))]
+        return effects + (self._lead(now) if len(self.yes) >= self.majority else [])
+
+    def _lead(self, now: float) -> list[Effect]:
+        self.role, self.leader, self.number = "leader", self.name, 0
+        self.beats.clear()
+        self.answers.clear()
+        # Its own plan begins where the newest that it holds left off, under its own term.
+        plans = [one for one in (self.plan, self.decided) if one is not None]
+        held = max(plans, key=lambda one: one.epoch, default=None)
+        self.plan = replace(held, epoch=(self.ballot.term, 1)) if held is not None else None
+        self.lease_until = now + self.limits.lease
+        self.wait_until = math.inf
+        self._keep(replace(self.ballot, seats=replace(self.seats, epoch=(self.ballot.term, 1))))
+        return [Keep(self.ballot), *self._beat(now)]
+
+    def reseat(self, now: float, voters: tuple[str, ...]) -> list[Effect]:
+        """At the leader: these are to have a vote, one more or one less than now. Nothing happens elsewhere, or while
+        most do not yet hold the set before."""
+        self.now = now = max(self.now, now)
+        if self.role != "leader" or self.seated != self.seats.epoch or self.name not in voters or len(
+                set(voters) ^ set(self.voters)) != 1:
+            return []
+        term, number = self.seats.epoch
+        self._keep(replace(self.ballot, seats=Seats((term, number + 1), tuple(sorted(voters)))))
+        # Answers to what was said under the set before count no more.
+        self.beats.clear()
+        self.answers.clear()
+        return [Keep(self.ballot), *self._beat(now)]
+
+    def _step_down(self, now: float) -> list[Effect]:
+        self.role, self.leader, self.beat_at = "follower", NOBODY, math.inf
+        self.beats.clear()
+        self.answers.clear()
+        self._wait(now)
+        return []
+
+    def _keep(self, ballot: Ballot):
+        self.ballot = self.kept = ballot
+        self.voters = ballot.seats.voters
+
+    def _to_others(self, word: Word) -> list[Effect]:
+        return [Tell(voter, word) for voter in self.voters if voter != self.name]
+
+    # The leader
+
+    def propose(self, now: float, plan: Plan) -> list[Effect]:
+        """At the leader: this is to be in force. Numbered here; nothing happens elsewhere."""
+        self.now = now = max(self.now, now)
+        if self.role != "leader":
+            return []
+        before = self.plan.epoch[1] if self.plan is not None and self.plan.epoch[0] == self.ballot.term else 0
+        self.plan = replace(plan, epoch=(self.ballot.term, before + 1))
+        return self._beat(now)
+
+    def _beat(self, now: float) -> list[Effect]:
+        self.beat_at = now + self.limits.beat
+        self.number += 1
+        epoch = self.plan.epoch if self.plan is not None else (0, 0)
+        self.beats[self.number] = now, epoch
+        self.answers[self.number] = {self.name}
+        for old in [number for number in self.beats if number <= self.number - 32]:
+            del self.beats[old], self.answers[old]
+        effects = self._to_others(Word("beat", self.name, self.ballot.term, self.number, self.plan,
+                                       self.decided.epoch if self.decided is not None else (0, 0), self.renewed,
+                                       self.seats))
+        self._counted(self.number)
+        return effects
+
+    def _counted(self, number: int):
+        """Most voters answered a beat: the leader leads from when it was sent, the plan of it is in force."""
+        if len(self.answers[number]) < self.majority:
+            return
+        sent, epoch = self.beats[number]
+        self.seated = self.seats.epoch
+        self.lease_until = max(self.lease_until, sent + self.limits.lease)
+        if self.plan is None or epoch != self.plan.epoch:
+            return
+        if self.decided is None or self.decided.epoch < epoch:
+            self.decided, self.renewed = self.plan, 0
+        if sent > self.renewed_at:
+            self.renewed += 1
+            self.renewed_at = sent
+
+    # Hearing
+
+    def heard(self, now: float, word: Word) -> list[Effect]:
+        self.now = now = max(self.now, now)
+        asks = word.kind in ("may", "vote", "beat")
+        seats = word.seats if asks and word.seats.epoch >= self.seats.epoch and word.seats.voters else self.seats
+        if word.sender == self.name or word.sender not in seats.voters or self.name not in seats.voters:
+            return []
+        if math.isnan(self.begun_at):
+            self.begun_at = now
+            self._wait(now)
+        if word.kind == "may":
+            return self._would(now, word)
+        if word.kind == "might":
+            if self.role == "asking" and word.term == self.ballot.term + 1:
+                self.yes.add(word.sender)
+                if len(self.yes) >= self.majority:
+                    return self._stand(now)
+            return []
+        if word.term < self.ballot.term:
+            # Who speaks in an old term hears of the newer one, and steps down.
+            return [Tell(word.sender, Word("held", self.name, self.ballot.term))] if word.kind == "beat" else []
+        effects: list[Effect] = []
+        if word.kind == "vote":
+            return self._elect(now, word)
+        if word.term > self.ballot.term or seats.epoch > self.seats.epoch:
+            # Who hears a leader gives nobody else its vote in that term, whatever it may have forgotten.
+            voted = word.sender if word.kind == "beat" else NOBODY
+            raised = word.term > self.ballot.term
+            self._keep(Ballot(word.term, voted if raised else self.ballot.voted, seats))
+            effects.append(Keep(self.ballot))
+            if self.role != "follower":
+                self._step_down(now)
+        if word.kind == "voted":
+            if self.role == "candidate" and word.term == self.ballot.term:
+                self.yes.add(word.sender)
+                if len(self.yes) >= self.majority:
+                    effects += self._lead(now)
+        elif word.kind == "beat":
+            effects += self._follow(now, word)
+        elif word.kind == "held" and self.role == "leader" and word.number in self.answers:
+            self.answers[word.number].add(word.sender)
+            self._counted(word.number)
+        return effects
+
+    def _quiet(self, now: float) -> bool:
+        """No leader was heard for so long that its lease is over by any clock."""
+        return now - self.heard_at >= self.limits.lease * (1 + self.limits.drift) and not self.leads(now)
+
+    def _would(self, now: float, word: Word) -> list[Effect]:
+        if word.term > self.ballot.term and word.seats.epoch >= self.seats.epoch and self._quiet(
+                now) and self._may_vote(now):
+            return [Tell(word.sender, Word("might", self.name, word.term))]
+        return []
+
+    def _elect(self, now: float, word: Word) -> list[Effect]:
+        if word.seats.epoch < self.seats.epoch:
+            return []  # a set of voters that it does not know may have been agreed on
+        if not self._may_vote(now) or not self._quiet(now) or word.term <= self.ballot.term and not (
+                word.term == self.ballot.term and self.ballot.voted in (NOBODY, word.sender)):
+            return []
+        if self.role != "follower":
+            self._step_down(now)
+        self._keep(replace(self.ballot, term=word.term, voted=word.sender))
+        self._wait(now)
+        return [Keep(self.ballot), Tell(word.sender, Word("voted", self.name, word.term))]
+
+    def _follow(self, now: float, word: Word) -> list[Effect]:
+        if self.role == "leader":
+            return []  # two of one term: never, and if it were, neither yields to the other's word
+        self.role, self.leader, self.heard_at = "follower", word.sender, now
+        self._wait(now)
+        if word.plan is not None and (self.plan is None or word.plan.epoch > self.plan.epoch):
+            self.plan = word.plan
+        if self.plan is not None and word.decided == self.plan.epoch:
+            self.learn(now, Renewal(self.plan, word.renewed, 0.0))
+        return [Tell(word.sender, Word("held", self.name, word.term, word.number))]
+
+    def learn(self, now: float, told: Renewal) -> bool:
+        """What rides on others' words: a plan in force. True if it was newer. Never back to an earlier epoch."""
+        self.now = now = max(self.now, now)
+        if told.seats.epoch > self.seats.epoch and told.seats.voters:
+            # Not kept on disk: it answered nobody by it.
+            self.ballot = replace(self.ballot, seats=told.seats)
+            self.voters = told.seats.voters
+            if self.role != "follower":
+                self._step_down(now)
+        held = self.decided
+        if held is not None and (told.plan.epoch, told.renewed) <= (held.epoch, self.renewed):
+            return False
+        if held is not None and told.plan.epoch == held.epoch and told.plan != held:
+            return False
+        newer = held is None or told.plan.epoch > held.epoch
+        self.decided, self.renewed = (told.plan if newer else held), told.renewed
+        self.renewed_at = max(now - told.age, self.renewed_at) if not newer else now - told.age
+        if self.plan is None or self.plan.epoch < told.plan.epoch:
+            self.plan = told.plan
+        return True
--- /dev/null
+++ b/sprucespool/failover/failover.py
@@ -0,0 +1,163 @@
+"""One controller's part of failover: its planner where it leads, its council, the plan it goes by. No I/O, no clock.
+
+Feed `know` whenever the view of the zones changed, `heard` for each word, `rode` for what rides on others' messages,
+and call `tick` when `due` has come. `follow` is what to go by at any moment: nobody waits for a decision.
+"""
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from typing import ClassVar
+
+from sprucespool.failover.council import Ballot, Council, CouncilLimits, Effect, Renewal, Word
+from sprucespool.failover.meter import Meter
+from sprucespool.failover.plan import Plan, faults, near
+from sprucespool.failover.planner import Planner, PlannerLimits, ZoneState, safe
+from sprucespool.failover.seating import Seating
+from sprucespool.failover.topology import Topology
+
+LOOK_EVERY = 500.0
+
+
+@dataclass(frozen=True, slots=True)
+class Turned:
+    """`kind`: follows (a decided plan), alone (no word of any: the safe one), leads, led, refused (a told plan), seats
+    (others have a vote)."""
+    kind: str
+    at: float
+    epoch: tuple[int, int]
+    why: str = ""
+
+
+@dataclass(eq=False)
+class Failover:
+    # What shows its own traffic to the others.
+    meter_kind: ClassVar[type[Meter]] = Meter
+    name: str
+    topology: Topology
+    voters: tuple[str, ...]
+    kept: Ballot | None = None
+    seed: int = 1
+    council_limits: CouncilLimits = field(default_factory=CouncilLimits)
+    planner_limits: PlannerLimits = field(default_factory=PlannerLimits)
+    # A voter that was gone for so many ms is replaced.
+    replace_after: float = 30_000.0
+    states: dict[str, ZoneState] = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.council = Council(self.name, self.voters, self.seed, self.kept, self.council_limits)
+        self.planner = Planner(self.topology, self.planner_limits)
+        self.seating = Seating(self.topology, len(self.voters), self.replace_after)
+        # The zone of each member that may have a vote.
+        self.places: dict[str, str] = {}
+        self.seated = self.council.voters
+        self.now, self.look_at = 0.0, 0.0
+        self.leading, self.epoch = False, (0, 0)
+        self.events: list[Turned] = []
+        self._safe: Plan | None = None
+
+    # What happens
+
+    def know(self, now: float, states: Mapping[str, ZoneState]) -> None:
+        self.now = max(self.now, now)
+        self.states, self._safe = dict(states), None
+
+    def know_members(self, places: Mapping[str, str]) -> None:
+        """The zone of each member that is there, serves and speaks of plans, the own one among them."""
+        self.places = dict(places)
+
+    @property
+    def wanted(self) -> frozenset[str]:
+        """Zones that operators want empty, as far as this one knows."""
+        plan = self.council.plan
+        return self.planner.drained if self.leading or plan is None else frozenset(plan.drained)
+
+    def drain(self, zone: str, away: bool, force: bool = False) -> str:
+        """At the leader: operators want the zone empty, or no longer (`away` false); gives why not, where that would
+        overload the rest."""
+        if zone not in self.topology.regions:
+            return f"no zone {zone}: expected one of {', '.join(self.topology.zones)}"
+        zones = self.wanted | {zone} if away else self.wanted - {zone}
+        if force or not away:
+            self.planner.drained = zones
+            return ""
+        trial = Planner(self.topology, self.planner_limits, drained=zones)
+        _, _, _, shed = trial.target(self.states)
+        _, _, _, before = self.planner.target(self.states)
+        more = sum(shed.values()) - sum(before.values())
+        if more > 1e-6:
+            return f"{more:.1f} of the load would have to be shed: " + ", ".join(
+                f"{amount:.1f} of {zone}" for zone, amount in sorted(shed.items()))
+        self.planner.drained = zones
+        return ""
+
+    def heard(self, now: float, word: Word) -> list[Effect]:
+        self.now = max(self.now, now)
+        if word.plan is not None and (wrong := faults(word.plan, self.topology)):
+            self._event("refused", word.plan.epoch, f"{word.sender}: {wrong[0]}")
+            word = replace(word, plan=None)
+        return self.council.heard(now, word)
+
+    def rode(self, now: float, told: Renewal) -> None:
+        self.now = max(self.now, now)
+        if wrong := faults(told.plan, self.topology):
+            return self._event("refused", told.plan.epoch, wrong[0])
+        self.council.learn(now, told)
+
+    def due(self) -> float:
+        return min(self.look_at, self.council.due())
+
+    def tick(self, now: float) -> list[Effect]:
+        self.now = now = max(self.now, now)
+        effects = self.council.tick(now)
+        leads = self.council.leads(now)
+        if leads is not self.leading:
+            self.leading = leads
+            self._event("leads" if leads else "led", (self.council.ballot.term, 0))
+            # What it did in an earlier term of its own is no measure of what others changed since.
+            self.planner.changed_at = now
+            if leads and self.council.plan is not None:
+                # What operators asked of an earlier leader holds on.
+                self.planner.drained = frozenset(self.council.plan.drained)
+        if now >= self.look_at:
+            self.look_at = now + LOOK_EVERY
+            if leads and self.states:
+                held = self.council.plan
+                before = held if held is not None else near(self.topology.zones)
+                new = self.planner.next(now, self.states, before)
+                if new is not None or held is None:
+                    effects += self.council.propose(now, new if new is not None else before)
+            if self.council.votes and self.places:
+                if not leads:
+                    self.seating.watch(now, self.council.voters, self.places)
+                elif voters := self.seating.next(now, self.name, self.council.voters, self.places):
+                    effects += self.council.reseat(now, voters)
+        if self.council.voters != self.seated:
+            self.seated = self.council.voters
+            self._event("seats", self.council.seats.epoch, ", ".join(self.seated))
+        followed = self.council.in_force(now)
+        epoch = followed.epoch if followed is not None else (0, 0)
+        if epoch != self.epoch:
+            self.epoch = epoch
+            self._event("follows" if followed is not None else "alone", epoch,
+                        followed.reason if followed is not None else "no word of a plan")
+        return effects
+
+    def _event(self, kind: str, epoch: tuple[int, int], why: str = ""):
+        self.events.append(Turned(kind, self.now, epoch, why))
+
+    # What is to be done
+
+    def follow(self, now: float) -> Plan:
+        """The plan in force, or the safe one."""
+        found = self.council.in_force(now)
+        if found is not None:
+            return found
+        # Once for what is known: each inference asks, also when nobody tells a plan.
+        if self._safe is None:
+            self._safe = safe(self.topology, self.states)
+        return self._safe
+
+    def take_events(self) -> list[Turned]:
+        events, self.events = self.events, []
+        return events
--- /dev/null
+++ b/sprucespool/failover/plan.py
@@ -0,0 +1,72 @@
+"""A plan: for each zone of clients the parts of its traffic that go to each zone of invokers, and what each may take.
+
+Plain data with an epoch, a reason and an end. Parts of a zone sum to 1 at the most; what is missing is shed near.
+"""
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from sprucespool.failover.topology import Topology
+
+Shares = dict[str, dict[str, float]]
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """`free` and `bound`: shares by zone of clients, then of invokers; `bound` is for what must stay in its region.
+    `caps`: what a zone may take, in the unit of load. `epoch` (term, number) orders plans; `term` 0 is nobody's."""
+    epoch: tuple[int, int]
+    free: Shares
+    bound: Shares
+    caps: dict[str, float] = field(default_factory=dict)
+    reason: str = ""
+    drained: tuple[str, ...] = ()
+
+    def part(self, zone: str, to: str, bound: bool = False) -> float:
+        return (self.bound if bound else self.free).get(zone, {}).get(to, 0.0)
+
+
+def rounded(shares: Mapping[str, Mapping[str, float]], steps: int = 1000) -> Shares:
+    """To whole steps, so that equal inputs make equal plans on any machine; never above 1 in sum."""
+    found: Shares = {}
+    for zone in sorted(shares):
+        row = {to: int(part * steps + 0.5) for to, part in sorted(shares[zone].items())}
+        over = sum(row.values()) - steps
+        while over > 0:
+            most = max(row, key=lambda to: (row[to], to))
+            row[most] -= 1
+            over -= 1
+        found[zone] = {to: part / steps for to, part in row.items() if part}
+    return found
+
+
+def near(zones: Iterable[str], reason: str = "all near") -> Plan:
+    """The plan of whoever knows nothing better: everybody stays at home. Nobody's, so that any other replaces it."""
+    home = {zone: {zone: 1.0} for zone in sorted(zones)}
+    return Plan((0, 0), home, {zone: dict(row) for zone, row in home.items()}, {}, reason)
+
+
+def distance(one: Shares, other: Shares) -> float:
+    """The largest part of any zone's traffic that goes elsewhere by the other plan."""
+    worst = 0.0
+    for zone in {*one, *other}:
+        a, b = one.get(zone, {}), other.get(zone, {})
+        worst = max(worst, sum(abs(a.get(to, 0.0) - b.get(to, 0.0)) for to in {*a, *b}) / 2)
+    return worst
+
+
+def faults(plan: Plan, topology: Topology) -> list[str]:
+    """What is wrong with a plan that somebody tells: parts out of bounds, sums above 1, `bound` leaving its region,
+    zones that nobody knows. An empty list: it can be followed."""
+    wrong = []
+    for name, shares in (("free", plan.free), ("bound", plan.bound)):
+        for zone, row in shares.items():
+            if any(not 0 <= part <= 1 for part in row.values()) or sum(row.values()) > 1 + 1e-6:
+                wrong.append(f"{name} {zone}: parts from 0 to 1 and a sum of 1 at the most were expected")
+            wrong += [f"{name} {zone}: no zone {to!r} is known" for to in (zone, *row) if to not in topology.regions]
+            if name == "bound":
+                wrong += [f"bound {zone}: {to} lies in another region" for to in row
+                          if not topology.same_region(zone, to)]
+    wrong += [f"cap {zone}: expected 0 or more" for zone, cap in plan.caps.items() if not 0 <= cap < 1e12]
+    return wrong
--- /dev/null
+++ b/sprucespool/failover/solver.py
@@ -0,0 +1,101 @@
+"""Who sends how much where: as much as fits, as near as it goes. Exact, small, without I/O.
+
+A transport problem: zones of clients ask, zones of invokers take up to a cap. First as much is placed as can be (of
+what must stay in its region only there), then at the least cost, by shortest augmenting paths over the residual
+network (a dozen zones: some hundred steps). What fits nowhere is left where it entered, told as shed.
+"""
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from sprucespool.failover.topology import Topology
+
+LEAST = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """What enters a zone, in the unit that caps count in. `bound`: the part of it that must not leave the region."""
+    free: float = 0.0
+    bound: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """`free` and `bound`: by (zone of clients, zone of invokers). `shed`: what fits nowhere, by zone of clients."""
+    free: dict[tuple[str, str], float]
+    bound: dict[tuple[str, str], float]
+    shed: dict[str, float]
+
+
+def place(asked: Mapping[str, Asked], caps: Mapping[str, float], topology: Topology) -> Placed:
+    """`caps` by zone of invokers; no figure may be negative."""
+    kinds = ("bound", "free")
+    sources = [(zone, kind) for zone in sorted(asked) for kind in kinds if _amount(asked[zone], kind) > LEAST]
+    left = {source: _amount(asked[source[0]], source[1]) for source in sources}
+    room = {zone: caps[zone] for zone in sorted(caps) if caps[zone] > LEAST}
+    costs = {(source, zone): topology.cost(source[0], zone) for source in sources for zone in room
+             if source[1] == "free" or topology.same_region(source[0], zone)}
+    flow: dict[tuple[tuple[str, str], str], float] = {}
+    while True:
+        found = _path(left, room, costs, flow)
+        if found is None:
+            break
+        path, most = found
+        for source, zone, forward in path:
+            amount = flow.get((source, zone), 0.0) + (most if forward else -most)
+            if amount > LEAST:
+                flow[source, zone] = amount
+            else:
+                flow.pop((source, zone), None)
+        left[path[0][0]] -= most
+        room[path[-1][1]] -= most
+    free = {(source[0], zone): amount for (source, zone), amount in flow.items() if source[1] == "free"}
+    bound = {(source[0], zone): amount for (source, zone), amount in flow.items() if source[1] == "bound"}
+    shed: dict[str, float] = {}
+    for source, amount in left.items():
+        if amount > 1e-6:
+            shed[source[0]] = shed.get(source[0], 0.0) + amount
+    return Placed(free, bound, shed)
+
+
+def _amount(asked: Asked, kind: str) -> float:
+    return asked.bound if kind == "bound" else asked.free
+
+
+Source = tuple[str, str]
+# (source, zone, whether the flow between them grows).
+Step = tuple[Source, str, bool]
+
+
+def _path(left: dict[Source, float], room: dict[str, float], costs: dict[tuple[Source, str], float],
+          flow: dict[tuple[Source, str], float]) -> tuple[list[Step], float] | None:
+    """The cheapest way on which more can be placed, and how much: from a source with something left, over zones that
+    give some of theirs to another, to a zone with room. Bellman-Ford, as residual costs may be negative."""
+    at_source: dict[Source, tuple[float, list[Step]]] = {
+        source: (0.0, []) for source, amount in left.items() if amount > LEAST}
+    at_zone: dict[str, tuple[float, list[Step]]] = {}
+    for _ in range(2 * (len(left) + len(room))):
+        changed = False
+        for (source, zone), cost in costs.items():
+            if source in at_source:
+                so_far, way = at_source[source]
+                if zone not in at_zone or so_far + cost < at_zone[zone][0] - LEAST:
+                    at_zone[zone] = so_far + cost, [*way, (source, zone, True)]
+                    changed = True
+        for (source, zone) in flow:
+            if zone in at_zone:
+                so_far, way = at_zone[zone]
+                back = so_far - costs[source, zone]
+                if source not in at_source or back < at_source[source][0] - LEAST:
+                    at_source[source] = back, [*way, (source, zone, False)]
+                    changed = True
+        if not changed:
+            break
+    ends = [(cost, zone, way) for zone, (cost, way) in at_zone.items() if room[zone] > LEAST]
+    if not ends:
+        return None
+    _, zone, way = min(ends, key=lambda end: (end[0], end[1]))
+    most = min([left[way[0][0]], room[zone], *(flow[source, via] for source, via, forward in way if not forward)])
+    return way, most
--- /dev/null
+++ b/sprucespool/failover/spread.py
@@ -0,0 +1,49 @@
+"""How the plan in force reaches all: by a tree of two steps from who leads, and on whatever is said anyway. No I/O.
+
+Messages of the group alone would do, but slowly: at 300 members the last one hears after many periods, and whoever
+hears no renewal for long goes by the safe plan.
+"""
+from __future__ import annotations
+
+import math
+import zlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from sprucespool.failover.council import Renewal
+
+
+@dataclass(frozen=True, slots=True)
+class Pass:
+    """Tell `renewal` at an address, which tells it on to `pass_on`."""
+    to: str
+    renewal: Renewal
+    pass_on: tuple[str, ...] = ()
+
+
+@dataclass(slots=True, eq=False)
+class Spread:
+    """`every`: ms between renewals told to all; a new plan is told at once."""
+    seed: int = 1
+    every: float = 2_000.0
+    epoch: tuple[int, int] = (0, 0)
+    told_at: float = -math.inf
+    drawn: int = 0
+
+    def lead(self, now: float, renewal: Renewal | None, others: Sequence[str]) -> list[Pass]:
+        """At who leads, as often as it likes."""
+        if renewal is None or renewal.plan.epoch == self.epoch and now - self.told_at < self.every:
+            return []
+        self.epoch, self.told_at = renewal.plan.epoch, now
+        addresses = sorted(others)
+        for place in range(len(addresses) - 1, 0, -1):
+            self.drawn += 1
+            other = zlib.crc32(b"%d:%d" % (self.seed, self.drawn)) % (place + 1)
+            addresses[place], addresses[other] = addresses[other], addresses[place]
+        heads = math.ceil(math.sqrt(len(addresses)))
+        return [Pass(addresses[n], renewal, tuple(addresses[heads + n::heads])) for n in range(heads)]
+
+    @staticmethod
+    def on(renewal: Renewal, pass_on: Sequence[str]) -> list[Pass]:
+        """At whoever was told with others to tell: the second step, and the last."""
+        return [Pass(to, renewal) for to in pass_on]
--- a/sprucespool/fleet/__init__.py
+++ b/sprucespool/fleet/__init__.py
@@ -1,8 +1,14 @@
 """What controllers know of the invokers among themselves: facts that are never taken back, opinions that lapse.
 
-Records and their joins; not yet carried between controllers. No I/O, no clock.
+`Fleet` is one controller's part; `Codec` its notes as bytes. No I/O, no clock.
 """
-from sprucespool.fleet.opinions import Judged, OpinionLimits, judged
-from sprucespool.fleet.records import Course, Listing, Opinion, Process, Record, View, merged
+from sprucespool.fleet.codec import Codec, NoteError
+from sprucespool.fleet.fleet import Fleet, FleetLimits, Peer
+from sprucespool.fleet.notes import Doubt, Happened, Note, Place, Send, Told
+from sprucespool.fleet.opinions import Judged, OpinionLimits, judged, judged_in
+from sprucespool.fleet.records import Course, Listed, Listing, Opinion, Process, Record, Witness, Word, merged
+from sprucespool.fleet.view import View
 
-__all__ = ["Course", "Judged", "Listing", "Opinion", "OpinionLimits", "Process", "Record", "View", "judged", "merged"]
+__all__ = ["Codec", "Course", "Doubt", "Fleet", "FleetLimits", "Happened", "Judged", "Listed", "Listing", "Note",
+           "NoteError", "Opinion", "OpinionLimits", "Peer", "Place", "Process", "Record", "Send", "Told", "View",
+           "Witness", "Word", "judged", "judged_in", "merged"]
--- a/sprucespool/fleet/records.py
+++ b/sprucespool/fleet/records.py
@@ -1,21 +1,28 @@
 """What is known of each process of an invoker, and how two tellings become one. Times are ms of the holder's clock.
 
-A process (address, boot) takes its course: serving, draining, gone, and never back. That is fact: one honest word is
-enough. A restart needs no order of boots: it is the fact that the old process is gone, beside the new one that serves.
-What a roster lists of it goes by that roster's version. An opinion is one observer's; only that observer renews it, by
-its own count. Each part is a join of its own, so order, grouping and repeats of tellings do not matter.
+A process (address, boot) takes its course: serving, draining, gone, and never back: a fact, for which one honest word
+is enough. Each word stands under the name of its witness, so that one who lies can be left out without taking back what
+others said. A restart needs no order of boots: it is the word that the old process is gone, beside the new one.
+What a roster lists goes by that roster's version. An opinion is one observer's; only that observer renews it, by its
+own count. Each part is a join of its own and each map keeps the first few by a fixed order, so order, grouping and
+repeats of tellings do not matter (`tests/test_fleet.py` proves the laws).
 
 Ages travel, clocks never: who is told counts back from the moment of the telling. Told of one opinion twice, the older
 moment holds, as no way makes evidence younger.
 """
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import Any
 
+# Who said it: a controller's name and start.
+Witness = tuple[str, int]
+# Address and boot; without a boot, whatever process stands at the address.
 Process = tuple[str, str]
-Observer = tuple[str, int]
+MOST_WORDS, MOST_LISTINGS, MOST_OPINIONS = 4, 3, 16
 
 
 class Course(IntEnum):
@@ -24,20 +31,41 @@
     GONE = 2
 
 
+class Listed(IntEnum):
+    """What a roster says of a row; `NOT` where its whole list leaves out what it had."""
+    IN_SERVICE = 0
+    DRAINING = 1
+    NOT = 2
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Word:
+    """One witness's word that the process drains or is gone. `source` and `version` of the roster that told it; no
+    source where the witness saw it with its own eyes."""
+    course: Course
+    version: int = 0
+    source: str = ""
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class Listing:
-    """A roster's row: of which source and version, and what it says."""
+    """A roster's row: of which version and source, and what it says."""
     version: int
     source: str
+    listed: Listed = Listed.IN_SERVICE
     zone: str = ""
     kind: str = ""
     cell: str = ""
     size: float = 1.0
 
+    @property
+    def content(self) -> tuple:
+        return self.source, self.listed, self.zone, self.kind, self.cell, self.size
+
 
 @dataclass(frozen=True, slots=True)
 class Opinion:
-    """Of one observer, numbered by itself. `kind`: well, silent, refused, slow, failing. `at`: when it was so."""
+    """Of one observer, numbered by itself. `kind`: well, silent, refused, failing. `at`: when it was so."""
     count: int
     kind: str
     zone: str
@@ -53,75 +81,86 @@
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """Of one process. `opinions` by observer: a controller's name and start."""
+    """Of one process. `born`: the earliest moment at which it is said to have started, as each way adds to what is
+    told; None where nobody tells."""
     process: Process
-    course: Course = Course.SERVING
-    listing: Listing | None = None
-    opinions: dict[Observer, Opinion] = field(default_factory=dict)
+    words: dict[Witness, Word] = field(default_factory=dict)
+    listings: dict[Witness, Listing] = field(default_factory=dict)
+    opinions: dict[Witness, Opinion] = field(default_factory=dict)
+    born: float | None = None
+
+    def course(self, believed: Callable[[Witness], bool] = lambda witness: True) -> Course:
+        return max((word.course for witness, word in self.words.items() if believed(witness)), default=Course.SERVING)
+
+    def listing(self, believed: Callable[[Witness], bool] = lambda witness: True) -> Listing | None:
+        """The newest version wins at all."""
+        return max((one for witness, one in self.listings.items() if believed(witness)), default=None)
+
+    @property
+    def content(self) -> tuple:
+        """What two controllers must hold alike: who said it, versions and opinions come and go and are left out."""
+        newest = self.listing()
+        return self.process, int(self.course()), newest.content if newest else None
+
+
+def _first(found: dict[Witness, Any], most: int, order: Callable[[Any], Any]) -> dict[Witness, Any]:
+    return found if len(found) <= most else dict(sorted(found.items(), key=order, reverse=True)[:most])
+
+
+def _union(one: dict[Witness, Any], other: dict[Witness, Any], join: Callable[[Any, Any], Any]) -> dict[Witness, Any]:
+    if not other or one is other:
+        return one
+    if not one:
+        return other
+    found = dict(one)
+    for witness, said in other.items():
+        found[witness] = join(found[witness], said) if witness in found else said
+    return found
+
+
+def _draw(witness: Witness) -> bytes:
+    # Fixed, and even over names: who speaks for all is not always the first of the alphabet.
+    return hashlib.blake2b(f"{witness[0]}\0{witness[1]}".encode(), digest_size=8).digest()
 
 
 def merged(one: Record, other: Record) -> Record:
     """The join of two records of one process."""
-    opinions = dict(one.opinions)
-    for observer, opinion in other.opinions.items():
-        opinions[observer] = opinion.later(opinions[observer]) if observer in opinions else opinion
-    listings = [found for found in (one.listing, other.listing) if found is not None]
-    return Record(one.process, max(one.course, other.course), max(listings, default=None), opinions)
-
-
-@dataclass(slots=True)
-class View:
-    """Records by process, bounded by expiry: a gone process is remembered so long that no old word revives it."""
-    remember: float = 600_000.0
-    lapse: float = 15_000.0
-    records: dict[Process, Record] = field(default_factory=dict)
-    gone_at: dict[Process, float] = field(default_factory=dict)
-    by_address: dict[str, set[str]] = field(default_factory=dict)
-
-    def join(self, now: float, record: Record) -> bool:
-        """True if it told anything new. A new process at an address is the end of those before it only where it is
-        told so: two boots may serve in two parts of a network until somebody knows."""
-        found = self.records.get(record.process)
-        new = record if found is None else merged(found, record)
-        if found is not None and new == found:
-            return False
-        self.records[record.process] = new
-        address, boot = record.process
-        self.by_address.setdefault(address, set()).add(boot)
-        if new.course is Course.GONE and record.process not in self.gone_at:
-            self.gone_at[record.process] = now
+    words = _union(one.words, other.words, max)
+    listings = _union(one.listings, other.listings, max)
+    opinions = _union(one.opinions, other.opinions, Opinion.later)
+    born = min((at for at in (one.born, other.born) if at is not None), default=None)
+    return Record(
+        one.process,
+        # The worst course first: a flood of weaker words drives out no stronger one.
+        _first(words, MOST_WORDS, lambda item: (item[1].course, _draw(item[0]))),
+        _first(listings, MOST_LISTINGS, lambda item: (item[1], _draw(item[0]))),
+        _first(opinions, MOST_OPINIONS, lambda item: _draw(item[0])), born)
+
+
+def adds(held: Record, told: Record) -> bool:
+    """Whether the telling says more than is held, but for whose word it is once two give theirs: the look before a
+    join, without which hundreds of witnesses of one row would cost hundreds of joins."""
+    words, listings, opinions = held.words, held.listings, held.opinions
+    if told.born is not None and held.born is None:
         return True
-
-    def course(self, now: float, process: Process, course: Course) -> bool:
-        """A fact heard."""
-        return self.join(now, Record(process, course))
-
-    def started(self, now: float, address: str, boot: str) -> list[Process]:
-        """Seen to have started, by its own word or a roster's: all other processes at the address are gone."""
-        ended = [(address, old) for old in self.by_address.get(address, ()) if old != boot
-                 and self.records[address, old].course is not Course.GONE]
-        self.join(now, Record((address, boot)))
-        for process in ended:
-            self.course(now, process, Course.GONE)
-        return ended
-
-    def said(self, now: float, process: Process, observer: Observer, opinion: Opinion) -> bool:
-        return self.join(now, Record(process, opinions={observer: opinion}))
-
-    def serving(self) -> list[Record]:
-        return [record for record in self.records.values() if record.course is Course.SERVING]
-
-    def sweep(self, now: float) -> None:
-        """Opinions lapse, gone processes are forgotten in the end."""
-        for process, at in list(self.gone_at.items()):
-            if now - at >= self.remember:
-                del self.gone_at[process], self.records[process]
-                self.by_address[process[0]].discard(process[1])
-        for process, record in list(self.records.items()):
-            fresh = {observer: opinion for observer, opinion in record.opinions.items()
-                     if now - opinion.at < self.lapse}
-            if len(fresh) < len(record.opinions):
-                self.records[process] = replace(record, opinions=fresh)
-
-    def joined(self, now: float, records: Iterable[Record]) -> int:
-        return sum(self.join(now, record) for record in records)
+    if told.words:
+        course = held.course()
+        two = sum(word.course is course for word in words.values()) >= 2
+        if any(word.course > course or not two and who not in words for who, word in told.words.items()):
+            return True
+    if told.listings:
+        newest = held.listing()
+        if newest is None:
+            return True
+        two = sum(one.content == newest.content for one in listings.values()) >= 2
+        for who, one in told.listings.items():
+            if one.version > newest.version or one.content != newest.content and one > newest or (
+                    not two and who not in listings):
+                return True
+    return any(who not in opinions or one.count > opinions[who].count for who, one in told.opinions.items())
+
+
+def mark(record: Record) -> int:
+    """64 bits of a record's content."""
+    text = repr(record.content)
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
--- a/sprucespool/gateway/core.py
+++ b/sprucespool/gateway/core.py
@@ -195,7 +195,7 @@
         self.counts.taken += 1
         inference = it.Inference(
             given.call, group, self._model(given.model), tenant, given.ttl, given.work, given.memory_mb,
-            given.lanes, given.load_time, given.repeat, given.write)
+            given.lanes, given.load_time, given.repeat, given.write, given.zones)
         held = self.calls[given.call] = _Held(inference, now + given.ttl)
         # Against a module that forgets one: answered all the same when its client's time is up.
         self._due(held.until, held)
@@ -331,6 +331,11 @@
     def _sharing(self, now: float, given: ms.Sharing, events: list):
         events.append(it.Sharing(given.live, given.sharers))
 
+    def _doubted(self, now: float, given: ms.Doubted, events: list):
+        invoker = self.invokers.get(given.invoker)
+        if invoker is not None:
+            events.append(it.Doubted(invoker, given.ill))
+
     def _woke(self, now: float, given: ms.Woke, events: list):
         self._armed = math.inf
         while self._dues and self._dues[0][0] <= now:
@@ -444,7 +449,7 @@
     ms.Call: Gateway._call, ms.Left: Gateway._left, ms.FirstResult: Gateway._first,
     ms.ForwardEnded: Gateway._forward_ended, ms.Roster: Gateway._roster, ms.OrderEnded: Gateway._order_ended,
     ms.ProbeEnded: Gateway._probe_ended, ms.PeerMessage: Gateway._peer, ms.Told: Gateway._told,
-    ms.Sharing: Gateway._sharing,
+    ms.Sharing: Gateway._sharing, ms.Doubted: Gateway._doubted,
     ms.BeliefsAsked: Gateway._beliefs_asked, ms.Woke: Gateway._woke,
 }
 WRITERS: dict[type, Callable] = {
--- a/sprucespool/gateway/messages.py
+++ b/sprucespool/gateway/messages.py
@@ -31,6 +31,8 @@
     load_time: float | None = None
     repeat: bool = False
     write: bool = False
+    # Zones of invokers that it may go to, the first of them first; empty: it is to be shed.
+    zones: tuple[str, ...] | None = None
 
 
 class Left(_Input):
@@ -115,12 +117,18 @@
     sharers: float
 
 
+class Doubted(_Input):
+    """Other controllers cannot reach the invoker (`ill`), or no longer say so."""
+    invoker: str
+    ill: bool
+
+
 class Woke(_Input):
     """The time asked for by `WakeAt` has come."""
 
 
 Input = (Call | Left | FirstResult | ForwardEnded | Roster | OrderEnded | ProbeEnded | PeerMessage | Told
-         | BeliefsAsked | Sharing | Woke)
+         | BeliefsAsked | Sharing | Doubted | Woke)
 
 
 # Effects
--- a/sprucespool/interface.py
+++ b/sprucespool/interface.py
@@ -145,6 +145,9 @@
     load_time: float | None
     repeat: bool
     write: bool
+    # Zones of invokers that it may go to, the first of them first; none at all: it is to be shed. None: anywhere.
+    # Told only where controllers follow a plan of zones in common.
+    zones: tuple[str, ...] | None = None
     forwards: list[Forward] = field(default_factory=list)
     belief: Any = None
 
@@ -258,6 +261,14 @@
     sharers: float
 
 
+@dataclass(slots=True, eq=False)
+class Doubted:
+    """Other controllers cannot reach the invoker, and this one has not just heard from it; or they no longer say so.
+    Told only where controllers know of each other."""
+    invoker: Invoker
+    ill: bool
+
+
 # Actions (with Forward)
 
 @dataclass(slots=True, eq=False)
--- a/sprucespool/judge/seen.py
+++ b/sprucespool/judge/seen.py
@@ -110,6 +110,14 @@
     until: float
 
 
+class Starved(_Seen):
+    """A busy machine, which is no fault of its processes. Between `since` and `t` each of `waits` (c0, clients, stage,
+    an invoker's boot) was ready to run for so many ms and had no core; `stolen` ms were taken from one core at most."""
+    since: float
+    waits: dict[str, float]
+    stolen: float
+
+
 class Killed(_Seen):
     """A controller process was ended without grace."""
     controller: int
@@ -122,7 +130,7 @@
 
 
 Seen = (Sent | Answer | NoAnswer | LeftEarly | Unreached | Came | Went | Ordered | Booted | Died | PushedOver | Told
-        | Stalled | Killed | Count)
+        | Stalled | Starved | Killed | Count)
 _DECODER = msgspec.json.Decoder(Seen)
 ENCODER = msgspec.json.Encoder()
 
--- a/sprucespool/membership/book.py
+++ b/sprucespool/membership/book.py
@@ -68,6 +68,8 @@
         same = found is not None and found.row.start == row.start
         if row.version > FARTHEST_VERSION + (found.row.version if found is not None and same else 0):
             return "a version that leaps"
+        if row.beat > FARTHEST_VERSION + (found.row.beat if found is not None and same else 0):
+            return "a beat that leaps"
         if row.state is State.ALIVE:
             # A leap does no harm here: accusations go by what is held. Only what could never be is refused.
             return "an incarnation out of bounds" if row.incarnation > MOST_INCARNATIONS else ""
--- a/sprucespool/membership/codec.py
+++ b/sprucespool/membership/codec.py
@@ -14,10 +14,10 @@
 import msgspec
 
 from sprucespool.membership.messages import KINDS, Message
-from sprucespool.membership.rows import MOST_ACCUSERS, About, Phase, Row, State
+from sprucespool.membership.rows import MOST_ACCUSERS, MOST_FIGURES, About, Phase, Row, State
 
 MOST_BYTES, MOST_ROWS, LONGEST_NAME, MOST_SEATS = 65_536, 512, 128, 512
-MOST_FIGURES, LONGEST_TEXT, SEAL = 6, 64, 16
+LONGEST_TEXT, SEAL = 64, 16
 _LARGEST = 2**62
 
 
@@ -25,7 +25,7 @@
     """Bytes that are no message of this group."""
 
 
-_RowWire = tuple[str, str, int, int, int, int, str, str, int, int, str, int, list[float], bytes, list[str]]
+_RowWire = tuple[str, str, int, int, int, int, str, str, int, int, str, int, bytes, list[str], int, list[float]]
 
 
 class _Wire(msgspec.Struct, array_like=True):
@@ -48,21 +48,24 @@
 def _row_out(row: Row) -> tuple:
     about = row.about
     return (row.name, row.address, row.start, row.incarnation, int(row.state), row.version, about.region, about.zone,
-            about.number, about.of, about.build, int(about.phase), list(about.figures), row.seal, list(row.accusers))
+            about.number, about.of, about.build, int(about.phase), row.seal, list(row.accusers),
+            row.beat, list(row.figures))
 
 
 def _row_in(told: tuple) -> Row:
-    (name, address, start, incarnation, state, version, region, zone, number, of, build, phase, figures, seal,
-     accusers) = told
+    (name, address, start, incarnation, state, version, region, zone, number, of, build, phase, seal, accusers,
+     beat, figures) = told
     if (not 0 < len(name) <= LONGEST_NAME or not 0 < len(address) <= LONGEST_NAME
-            or min(start, incarnation, version, number) < 0 or max(start, incarnation, version, number, of) > _LARGEST
+            or min(start, incarnation, version, number, beat) < 0
+            or max(start, incarnation, version, number, of, beat) > _LARGEST
             or of < 1 or max(len(region), len(zone), len(build)) > LONGEST_TEXT or len(figures) > MOST_FIGURES
             or not all(map(math.isfinite, figures)) or len(seal) > 32 or len(accusers) > MOST_ACCUSERS
             or any(len(accuser) > LONGEST_NAME for accuser in accusers)):
         raise MessageError("a name, figure or text of a row out of bounds")
     try:
-        about = About(region, zone, number, of, build, Phase(phase), tuple(figures))
-        return Row(name, address, start, incarnation, State(state), version, about, seal, tuple(accusers))
+        about = About(region, zone, number, of, build, Phase(phase))
+        return Row(name, address, start, incarnation, State(state), version, about, seal, tuple(accusers),
+                   beat, tuple(figures))
     except ValueError as problem:
         raise MessageError(str(problem)) from None
 
--- a/sprucespool/membership/group.py
+++ b/sprucespool/membership/group.py
@@ -8,14 +8,14 @@
 
 import math
 import zlib
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field, replace
 
 from sprucespool.membership.book import FARTHEST_LEAP, FARTHEST_VERSION, Book, Held
 from sprucespool.membership.conduct import Conduct
 from sprucespool.membership.doubts import Doubts
 from sprucespool.membership.messages import Event, Message, Say, Tally
-from sprucespool.membership.rows import About, Phase, Row, Seat, State, sealed
+from sprucespool.membership.rows import MOST_FIGURES, About, Phase, Row, Seat, State, sealed
 from sprucespool.membership.shares import MOST_HEIRS, Shares
 
 # Rows that one message carries as news, and in answer to marks that differ.
@@ -43,6 +43,11 @@
     across_every: int = 4
     lost_every: int = 3
     repair_every: int = 10
+    # Figures are told anew no more often than every so many periods, and than each so many members allow: what all tell
+    # must fit into the news. Sooner than `figures_keep` only when they changed by a quarter.
+    figures_every: float = 5.0
+    figures_members: float = 10.0
+    figures_keep: float = 30.0
     # Repair at this part of the period while much is new, and for so many periods after.
     quick: float = 0.3
     quick_for: float = 6.0
@@ -111,6 +116,8 @@
         self._private: dict[Seat, float] = {}
         # Said otherwise of an accusation in this step.
         self._refuting = False
+        # How long answers to own checks took, by the zone of who answered; for whoever measures ways.
+        self.took: deque[tuple[str, float]] = deque(maxlen=64)
         # Members that just said that they send nothing more.
         self._leaving: list[Row] = []
         self._next_period = self._next_repair = self._next_join = -math.inf
@@ -118,6 +125,7 @@
         self._quick_until = -math.inf
         # Members that came, went or were replaced within about a period.
         self._heat, self._heat_at = 0.0, 0.0
+        self._weighed_at = -math.inf
 
     # Reading
 
@@ -217,6 +225,24 @@
         self._spread(self.me.seat)
         return self._urgent(self.me, [row.seat for row in self.live() if row.seat != self.me.seat]) if urgent else []
 
+    def weigh(self, now: float, figures: tuple[float, ...]) -> bool:
+        """Own load and capacity as of now; true if they are told anew. Call as often as you like. Raises ValueError."""
+        if len(figures) > MOST_FIGURES:
+            # Here, and not at all others: they would refuse every row of this member, and never say so to it.
+            raise ValueError(f"expected {MOST_FIGURES} figures at the most, got {len(figures)}")
+        now, limits, told = self._clock(now), self.limits, self.me.figures
+        since = (now - self._weighed_at) / limits.period
+        if self.left or since < max(limits.figures_every, len(self.book.present) / limits.figures_members):
+            return False
+        moved = len(told) != len(figures) or any(
+            abs(new - old) > 0.25 * max(abs(new), abs(old)) for old, new in zip(told, figures, strict=True))
+        if not moved and since < limits.figures_keep:
+            return False
+        self._weighed_at = now
+        self.book.set_me(replace(self.me, beat=self.me.beat + 1, figures=figures))
+        self._spread(self.me.seat)
+        return True
+
     def leave(self, now: float) -> list[Say]:
         """The last words: nothing is said after them."""
         self._clock(now)
@@ -531,7 +557,8 @@
         if row.start < me.start or self.left:
             return False
         if row.state is State.LEFT and sealed(row.seal) != me.seal or (
-                row.incarnation > me.incarnation + FARTHEST_LEAP or row.version > me.version + FARTHEST_VERSION):
+                row.incarnation > me.incarnation + FARTHEST_LEAP or row.version > me.version + FARTHEST_VERSION
+                or row.beat > me.beat + FARTHEST_VERSION):
             self._refuse(now, "of this member itself what it never said", teller)
             return False
         changed = False
@@ -540,6 +567,10 @@
             self.book.set_me(replace(me, version=row.version + 1))
             self._refuse(now, "of this member itself what it never said", teller)
             changed = True
+        if row.beat > me.beat or row.beat == me.beat and row.figures != me.figures:
+            # Figures made up for this member: its own are numbered past them.
+            self.book.set_me(replace(self.me, beat=row.beat + 1))
+            changed = True
         if row.state is not State.ALIVE and row.incarnation >= me.incarnation:
             self.book.set_me(replace(self.me, incarnation=row.incarnation + 1))
             self.tally.refuted += 1
@@ -601,7 +632,8 @@
         rows = []
         for row in self.book.rows_in(message.buckets):
             its = told.get(row.seat)
-            if its is None or (its.start, its.life, its.version) < (row.start, row.life, row.version):
+            if its is None or (its.start, its.life, its.version, its.beat) < (
+                    row.start, row.life, row.version, row.beat):
                 rows.append(row)
         return self._pages("extra", message.sender, message.number, [], rows)
 
@@ -730,6 +762,9 @@
                     found.known = now
                     if message.sender.seat != check.seat:
                         found.heard = now
+                    elif not check.helped:
+                        # With a helper's question out it could be the answer to that.
+                        self.took.append((found.row.about.zone, now - check.begun))
                 self.health = max(0, self.health - 1)
                 self._check = self._second = None
         elif errand is not None and message.sender.seat == errand.seat:
--- a/sprucespool/membership/messages.py
+++ b/sprucespool/membership/messages.py
@@ -11,6 +11,10 @@
 KINDS = ("ping", "ack", "nack", "ask", "join", "digest", "rows", "extra", "urgent", "moved", "lend", "lent", "freed")
 
 
+# Events after which others are there than before, or not for sure.
+MOVES = ("joined", "left", "died", "restarted", "suspected", "cleared")
+
+
 @dataclass(frozen=True, slots=True)
 class Message:
     """`sender` is the sender's own row. `to`: name and start of whom it is meant for, start 0 for whoever has the
--- a/sprucespool/membership/rows.py
+++ b/sprucespool/membership/rows.py
@@ -1,8 +1,8 @@
 """What is told of a member, and how two tellings become one. Pure data and one merge.
 
-A row belongs to a seat (name and address); `start` names the process on it. Within a process two parts are joined each
-by itself: life by (left, incarnation, state), and what the owner tells of itself by version. So the merge is a join:
-order, grouping and repeats of news do not matter (`tests/test_membership.py` proves the laws).
+A row belongs to a seat (name and address); `start` names the process on it. Within a process three parts are joined
+each by itself: life by (left, incarnation, state), what the owner tells of itself by version, its figures by beat. So
+the merge is a join: order, grouping and repeats of news do not matter (`tests/test_membership.py` proves the laws).
 """
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from enum import IntEnum
 
 MOST_ACCUSERS = 4
+MOST_FIGURES = 16
 Seat = tuple[str, str]
 
 
@@ -30,20 +31,20 @@
 
 @dataclass(frozen=True, slots=True)
 class About:
-    """What a member tells of itself. `figures`: its load and capacity, a few floats whose meaning is its users'."""
+    """What a member tells of itself."""
     region: str = ""
     zone: str = ""
     number: int = 0
     of: int = 1
     build: str = ""
     phase: Phase = Phase.SERVING
-    figures: tuple[float, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Row:
     """`seal`: a hash of a secret of the process; in LEFT the secret itself, so that nobody else can say it left.
-    `accusers`: who says that it is silent, a few of them."""
+    `accusers`: who says that it is silent, a few of them. `figures`: its load and capacity, a few floats whose meaning
+    is its users', numbered by the owner (`beat`); no mark counts them, as views would else never be equal for long."""
     name: str
     address: str
     start: int
@@ -53,6 +54,8 @@
     about: About = About()
     seal: bytes = b""
     accusers: tuple[str, ...] = ()
+    beat: int = 0
+    figures: tuple[float, ...] = ()
 
     @property
     def seat(self) -> Seat:
@@ -82,12 +85,14 @@
     accusers = life.accusers
     if life.life == less.life:
         accusers = tuple(sorted({*one.accusers, *other.accusers})[:MOST_ACCUSERS])
-    return replace(told, incarnation=life.incarnation, state=life.state, seal=life.seal, accusers=accusers)
+    beat, figures = max((one.beat, one.figures), (other.beat, other.figures))
+    return replace(told, incarnation=life.incarnation, state=life.state, seal=life.seal, accusers=accusers, beat=beat,
+                   figures=figures)
 
 
 def _content(row: Row) -> tuple:
     about = row.about
-    return about.region, about.zone, about.number, about.of, about.build, about.phase, about.figures
+    return about.region, about.zone, about.number, about.of, about.build, about.phase
 
 
 def mark(row: Row) -> int:
--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -16,9 +16,9 @@
 from types import SimpleNamespace
 
 from sprucespool.interface import (
-    Arrived, Beliefs, BeliefsAsked, CallOff, Departed, Deployment, Effect, Ended, Fail, Forward, Found,
-    Inference, Model, ModelGroup, News, Order, OrderSettled, Outcome, RosterEntry, RosterNews, Scope,
-    SetTimer, Sharing, Shed, Standing, Status, Streaming, Subscribe, TimerDue, Told)
+    Arrived, Beliefs, BeliefsAsked, CallOff, Departed, Deployment, Doubted, Effect, Ended, Fail, Forward,
+    Found, Inference, Model, ModelGroup, News, Order, OrderSettled, Outcome, RosterEntry, RosterNews,
+    Scope, SetTimer, Sharing, Shed, Standing, Status, Streaming, Subscribe, TimerDue, Told)
 
 PULSE, DUE, PULSE_EVERY = 1, 2, 200.0
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.NOT_SENT, Outcome.MISS)
@@ -66,7 +66,7 @@
         self.salt = _salt(entry.invoker.name)
         self.serving, self.heard, self.new, self.cold = False, now, True, 0
         self.out: dict[Forward, None] = {}
-        self.suspect, self.trial_at, self.trial_gap = False, 0.0, FIRST_TRIAL
+        self.suspect, self.rumour, self.trial_at, self.trial_gap = False, False, 0.0, FIRST_TRIAL
         self.full_until = self.unfit_until = self.carried = self.rate = self.narrowed = self.strain = 0.0
         self.grant, self.granted_at, self.window, self.broken_at = None, now, FIRST_WINDOW, 0.0
 
@@ -87,6 +87,11 @@
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=7).digest(), "big") + 1
 
 
+def _open(inf: Inference, pod: _Pod) -> bool:
+    """Under a plan of zones: the first that it names, and where a forward failed the others too."""
+    return pod.zone in (inf.zones if inf.forwards else inf.zones[:1])
+
+
 class _Load:
     """A load this controller has set going, with the inferences that wait here until it stands."""
 
@@ -136,7 +141,8 @@
         self.handlers = {
             Arrived: self._arrived, Ended: self._ended, OrderSettled: self._settled, TimerDue: self._timer,
             RosterNews: self._roster, Told: self._told, BeliefsAsked: self._give,
-            Sharing: self._sharing, Departed: lambda event: self._close(event.inference),
+            Sharing: self._sharing, Doubted: self._rumoured,
+            Departed: lambda event: self._close(event.inference),
             Streaming: lambda event: self._close(event.forward.inference, event.forward)}
 
     def handle(self, now: float, events: list) -> list:
@@ -210,7 +216,7 @@
         mdl.lanes, mdl.load_time = inf.lanes or mdl.lanes, inf.load_time or mdl.load_time
         self.arrivals.append(self.now)
         until = self.now + max(0.0, inf.ttl - 2 * self.dep.tick)
-        inf.belief = _Inf(self.now, until, self._beyond_share(inf), self._chance() / 2**32)
+        inf.belief = _Inf(self.now, until, self._beyond_share(inf) or inf.zones == (), self._chance() / 2**32)
         self._due(until, inf)
         self._place(inf)
         # Counted when placed: the call at hand alone would make each rare model look like a favourite.
@@ -264,8 +270,7 @@
             trial.trial_gap, trial.trial_at = min(2 * trial.trial_gap, LAST_TRIAL), self.now + trial.trial_gap
             return self._forward(inf, trial)
         part, now, anywhere = BEYOND if mind.cheap else 1.0, self.now, inf.group.scope is Scope.ALL
-        shared = 2 * len(ill) >= len(self.pods)
-        places = self._places(mdl)
+        shared, places = 2 * len(ill) >= len(self.pods), self._places(mdl)
         spread = thin and places > 1
 
         def ready(pod: _Pod) -> bool:
@@ -288,7 +293,7 @@
         def has_room(pod: _Pod) -> bool:
             # One that left may still have a load here until its turn to be struck comes.
             return (pod.serving and (shared or not pod.suspect) and pod.full_until <= now and pod not in past
-                    and pod.unfit_until <= now and pod.work + mind.luck < pod.window * part
+                    and (inf.zones is None or _open(inf, pod)) and pod.unfit_until <= now and pod.work + mind.luck < pod.window * part
                     and (anywhere and pod.warm_at <= now or self._may_forward(inf, pod)))
         # Those tried before only where nothing else has room.
         while True:
@@ -471,8 +476,7 @@
             self._place(inf)
 
     def _hold(self, inf: Inference, load: _Load):
-        inf.belief.load = load
-        load.waiting[inf] = None
+        inf.belief.load, load.waiting[inf] = load, None
 
     def _unhold(self, inf: Inference, mind: _Inf):
         if mind.load:
@@ -548,7 +552,7 @@
 
     def _may_forward(self, inf: Inference, pod: _Pod) -> bool:
         group = inf.group
-        if not pod.serving or pod.full_until > self.now:
+        if not pod.serving or pod.full_until > self.now or inf.zones is not None and not _open(inf, pod):
             return False
         if group.scope is not Scope.ALL and any(
                 other.zone != pod.zone or group.scope is Scope.CELL and other.entry.cell != pod.entry.cell
@@ -668,7 +672,7 @@
         usual.add(event.elapsed)
         self.kinds.setdefault(pod.kind, _Usual(ratio)).add(ratio)
         if ratio < SLOW_PACE:
-            pod.suspect, pod.trial_gap = False, FIRST_TRIAL
+            pod.suspect, pod.rumour, pod.trial_gap = False, False, FIRST_TRIAL
             self.ill.pop(pod, None)
 
     def _enter(self, mdl: _Mdl, pod: _Pod, copies: int):
@@ -721,12 +725,24 @@
                 allowed = self._may_repeat(inf) and self._may_forward(inf, pod)
                 self._forward(inf, pod) if allowed else self._place(inf)
 
+    def _rumoured(self, event: Doubted):
+        """Others' word makes a suspect like any other: tried now and then, in again where most are out,
+        cleared by an own answer. Taken back, it leaves own evidence alone."""
+        pod = event.invoker.belief
+        if event.ill and pod and not pod.suspect:
+            self._doubt(pod)
+            pod.rumour = True
+        elif pod and pod.rumour and not event.ill:
+            pod.suspect = pod.rumour = False
+            self.ill.pop(pod, None)
+
     def _healthy(self) -> list[_Pod]:
         """Suspects are left out, unless so many look ill that the cause must be a shared one."""
         well = [pod for pod in self.pods if not pod.suspect] if self.ill else self.pods
         return well if 2 * len(well) > len(self.pods) else self.pods
 
     def _doubt(self, pod: _Pod):
+        pod.rumour = False
         if not pod.suspect:
             pod.suspect, pod.trial_at = True, self.now + pod.trial_gap
             if pod.serving:
@@ -736,8 +752,7 @@
         """One narrowing for one wave of bad news: what is out was sent under the old window. Below one it
         thins by chance: many controllers with one inference each can only send less so."""
         if self.now - pod.narrowed > self.usual[group].mean:
-            pod.narrowed = self.now
-            pod.window = max(LEAST_WINDOW, 0.7 * min(pod.window, pod.work + 1.0))
+            pod.narrowed, pod.window = self.now, max(LEAST_WINDOW, 0.7 * min(pod.window, pod.work + 1.0))
             self._file(pod)
 
     def _overdue(self, forward: Forward) -> bool:
--- a/sprucespool/settings/controller.py
+++ b/sprucespool/settings/controller.py
@@ -25,6 +25,11 @@
     return host, port
 
 
+def _stays(stay: str):
+    if stay not in ("", "region"):
+        raise ValueError(f'stay: expected "region" or nothing, got {stay!r}')
+
+
 class Place(msgspec.Struct, forbid_unknown_fields=True):
     """Which of how many controllers this is."""
     number: int = 0
@@ -44,6 +49,8 @@
     # True: the decision module says when to subscribe; else the daemon does by itself.
     asked: bool = False
     ask_every: Duration = 10_000.0
+    # Which roster it is, where it does not say so itself: versions of one name are compared between controllers.
+    name: str = "roster"
 
     def __post_init__(self):
         if (self.watch is None) == (self.file is None):
@@ -64,8 +71,11 @@
     scope: str = "all"
     dedup_window: Duration = 0.0
     streamed: bool = False
+    # "region": its data must not leave the region of the controller that it enters.
+    stay: str = ""
 
     def __post_init__(self):
+        _stays(self.stay)
         if self.effect not in EFFECTS:
             raise ValueError(f"effect: expected one of {', '.join(EFFECTS)}, got {self.effect!r}")
         if self.scope not in SCOPES:
@@ -82,6 +92,10 @@
     share: float = 1.0
     # Inferences a second over all controllers, within its share.
     quota: float = 1e9
+    stay: str = ""
+
+    def __post_init__(self):
+        _stays(self.stay)
 
 
 class ModelFacts(msgspec.Struct):
@@ -249,6 +263,86 @@
             raise ValueError("member: expected a name of 1 to 64 characters")
 
 
+class FleetView(msgspec.Struct):
+    """The view of the invokers that the group keeps in common. Without this node each goes by its own roster."""
+    # A forward out for so long without a word makes an invoker silent in this controller's eyes; longer than a load.
+    silent_after: Duration = 1_500.0
+    # Controllers that must agree before an invoker is left aside for what others see; the part of a zone that may be.
+    observers: int = 2
+    most_out: float = 0.5
+    opinions_lapse: Duration = 15_000.0
+    snapshot: str | None = None
+    snapshot_every: Duration = 2_000.0
+
+    def __post_init__(self):
+        if self.silent_after < 50.0 or self.opinions_lapse < 1_000.0 or self.snapshot_every < 100.0:
+            raise ValueError("expected silent-after of 50ms, opinions-lapse of 1s, snapshot-every of 100ms at least")
+        if self.observers < 2:
+            raise ValueError(f"observers: expected at least 2, got {self.observers}")
+        if not 0 < self.most_out < 1:
+            raise ValueError(f"most-out: expected a part between 0 and 1, got {self.most_out:g}")
+
+
+class ZonePlace(msgspec.Struct):
+    """A zone of invokers and controllers, and the region it lies in."""
+    __args__ = ("zone",)
+    zone: str
+    region: str
+
+
+class Distance(msgspec.Struct):
+    """What it costs to go from one zone to another, and back: ms of the way or whatever else is counted."""
+    __args__ = ("one", "other", "cost")
+    one: str
+    other: str
+    cost: float
+
+    def __post_init__(self):
+        if not 0 < self.cost < 1e6:
+            raise ValueError(f"distance: expected a cost above 0, got {self.cost:g}")
+
+
+class Voter(msgspec.Struct):
+    """A member of the group that has a vote in what plan is in force."""
+    __args__ = ("member",)
+    member: str
+
+
+class FailoverPlan(msgspec.Struct):
+    """Plans of zones that the group decides and follows. Without this node every inference may go anywhere."""
+    zones: list[ZonePlace] = []
+    voters: list[Voter] = []
+    distances: list[Distance] = []
+    # A voter's file: whom it gave its vote. Without it, it gives none for 10 s after each start.
+    keep: str | None = None
+    # Another member has the vote of one that was gone for so long.
+    replace_after: Duration = 30_000.0
+    # Cores that a unit of an invoker's size stands for.
+    cores: float = 1.0
+    # The part of a zone that its own traffic, and others', may fill.
+    own_most: float = 0.85
+    far_most: float = 0.85
+
+    def __post_init__(self):
+        names = [place.zone for place in self.zones]
+        for name in names:
+            if names.count(name) > 1:
+                raise ValueError(f"zone {name!r} is given twice")
+        if len(names) < 2:
+            raise ValueError("expected at least two zones")
+        for distance in self.distances:
+            for name in (distance.one, distance.other):
+                if name not in names:
+                    raise ValueError(f"distance: no zone {name!r}")
+        voters = [voter.member for voter in self.voters]
+        if len(voters) % 2 == 0 or len(set(voters)) < len(voters) or len(voters) > 9:
+            raise ValueError(f"voters: expected an odd number of different members, 9 at the most, got {len(voters)}")
+        if self.replace_after <= 0:
+            raise ValueError("replace-after: expected a time above 0")
+        if not 0 < self.far_most <= self.own_most <= 1 or self.cores <= 0:
+            raise ValueError("expected far-most and own-most from 0 to 1, the second not smaller, and cores above 0")
+
+
 class Learning(msgspec.Struct):
     """What a new controller may be told. Without this node nothing is asked, answered or written."""
     sources: list[Source] = []
@@ -272,6 +366,8 @@
     peers: list[Peer] = []
     learning: Learning | None = None
     group: GroupPlan | None = None
+    fleet_view: FleetView | None = None
+    failover: FailoverPlan | None = None
     fleet: Fleet = msgspec.field(default_factory=Fleet)
     forwards: Forwards = msgspec.field(default_factory=Forwards)
     orders: Orders = msgspec.field(default_factory=Orders)
@@ -293,6 +389,14 @@
             loopback(f"{self.source}:0")
         if self.learning is not None and self.learning.members and self.group is None:
             raise ValueError("learning members: expected a group node, whose members they are")
+        if self.fleet_view is not None and self.group is None:
+            raise ValueError("fleet-view: expected a group node, whose members keep it")
+        if self.failover is not None and self.fleet_view is None:
+            raise ValueError("failover: expected a fleet-view node, from which it knows what the zones can take")
+        if self.failover is not None and self.controller.zone not in {one.zone for one in self.failover.zones}:
+            raise ValueError(f"failover: expected the controller's own zone {self.controller.zone!r} among its zones")
+        if self.fleet_view is not None and self.roster.asked:
+            raise ValueError("fleet-view: expected a roster that is not asked: the view tells the module by itself")
         for what, names in (("model-group", [group.name for group in self.model_groups]),
                             ("tenant", [tenant.name for tenant in self.tenants])):
             for name in names:
--- a/sprucespool/standin/invoker.py
+++ b/sprucespool/standin/invoker.py
@@ -236,9 +236,13 @@
         if not self.plan.tells:
             return {}
         running = len(self.worker.running) / max(1, self.plan.facts.cores)
-        return {names.FOUND: job.found, names.SAME_MODEL: str(min(30, job.same_model)),
+        return {**self._process(), names.FOUND: job.found, names.SAME_MODEL: str(min(30, job.same_model)),
                 names.REPORT: f"util={min(1.0, running):.3f},x1={len(self.worker.loading)}"}
 
+    def _process(self) -> Metadata:
+        process = {names.BOOT: self.plan.boot, names.AGE: f"{now_ms() - self.worker.born:.0f}"}
+        return {**process, names.DRAINING: "1"} if self.worker.draining else process
+
     def _finished(self, act: Finished):
         job = act.job
         if self._on("hang"):
@@ -326,7 +330,7 @@
 
     def _ready(self, call: ServerCall, data: bytes):
         call.send(oip.ServerReadyResponse(ready=not self.worker.draining).SerializeToString())
-        call.finish(Status.OK)
+        call.finish(Status.OK, trailers=self._process() if self.plan.tells else {})
 
     def _model_ready(self, call: ServerCall, data: bytes):
         name = oip.ModelReadyRequest.FromString(data).name
--- a/sprucespool/standin/members.py
+++ b/sprucespool/standin/members.py
@@ -41,6 +41,10 @@
             self.book.set_me(replace(self.me, version=0 if self.me.version else 3))
         return super()._period(now)
 
+    def _about_me(self, now: float, row: Row, teller: str) -> bool:
+        # What others remember of its tellings would else put it right before anybody looks.
+        return False
+
 
 class Wordless(Group):
     """(e) Leaves without a word."""
--- a/sprucespool/standin/rig.py
+++ b/sprucespool/standin/rig.py
@@ -12,7 +12,7 @@
 from sprucespool.faults import LinkState
 from sprucespool.judge import group as seen
 from sprucespool.settings import write
-from sprucespool.settings.controller import ControllerPlan, Group, GroupPlan, Log, Place, RosterSource, Seed
+from sprucespool.settings.controller import ControllerPlan, FleetView, Group, GroupPlan, Log, Place, RosterSource, Seed
 from sprucespool.standin.links import Relays
 from sprucespool.standin.processes import Process
 from sprucespool.standin.trace import now_ms
@@ -23,10 +23,14 @@
     """Controllers by name. Use `async with`: no process is left behind, whatever fails."""
 
     def __init__(self, folder: Path, seed: int = 1, period: float = 500.0, decider: str = "hiku",
-                 usual: LinkState | None = None, loan: float = 6_000.0, every: float = 250.0):
+                 usual: LinkState | None = None, loan: float = 6_000.0, every: float = 250.0,
+                 view: bool = False):
         self.folder, self.seed, self.period, self.decider, self.loan = folder, seed, period, decider, loan
         self.relays = Relays(seed, usual)
         self.watch = Watch(every)
+        # Whether they keep a view of the invokers; whose roster is a file of its own.
+        self.view = self.watch.watch_fleet = view
+        self.rosters: dict[str, Path] = {}
         self.processes: dict[str, Process] = {}
         self.all: list[Process] = []
         self.places: dict[str, Place] = {}
@@ -51,7 +55,8 @@
         self.places[name] = place = place or self.places[name]
         relay = await self.relays.before(name)
         plan = ControllerPlan(
-            listen="127.0.0.1:0", roster=RosterSource(file=str(self.folder / "invokers.kdl")),
+            listen="127.0.0.1:0", roster=RosterSource(file=str(self.rosters.get(name, self.folder / "invokers.kdl"))),
+            fleet_view=FleetView() if self.view else None,
             model_groups=[Group("line", 600.0, 2500.0)], controller=place, source=self.relays.source_of(name),
             group=GroupPlan("rig", "a mark of the rig", [Seed(one) for one in (self.seeds if seeds is None else seeds)],
                             name, relay.address, self.period, self.loan),
