--- a/sprucespool/cli/main.py
+++ b/sprucespool/cli/main.py
@@ -294,6 +294,39 @@
     """Plans of zones, tried without running any."""
 
 
+lab = typer.Typer(add_completion=False, no_args_is_help=True, help="Experiments on the whole fleet in virtual time.")
+app.add_typer(lab, name="lab")
+
+
+@lab.command("hunt")
+def lab_hunt(
+        seeds: Annotated[str, typer.Option(help="FIRST-LAST.")] = "1-100",
+        build: Annotated[str, typer.Option(help="A build with a seeded defect; `all`: a table of all.")] = "sound",
+        most: Annotated[int, typer.Option(help="Faults in a course.", min=1, max=20)] = 5,
+        workers: Annotated[int, typer.Option(min=1, max=256)] = 4,
+        folder: Annotated[Path, typer.Option(help="Where courses that break something are written.")] = Path(
+            "hunted")) -> None:
+    """Search for a course of faults that breaks an invariant; status 1 if the sound build has one."""
+    from sprucespool.cli.lab import run_hunt
+    try:
+        raise typer.Exit(run_hunt(seeds, build, most, workers, folder))
+    except ValueError as problem:
+        raise _refuse(str(problem)) from None
+    except OSError as problem:
+        raise _refuse(f"{problem.filename or folder}: {problem.strerror or problem}") from None
+
+
+@lab.command("replay")
+def lab_replay(course: Path) -> None:
+    """Play one written course again; status 1 if it breaks what must hold."""
+    from sprucespool.cli.lab import run_replay
+    from sprucespool.emulator.hunt import Course
+    try:
+        raise typer.Exit(run_replay(_read(Course, course)))
+    except ValueError as problem:
+        raise _refuse(f"{course}: {problem}") from None
+
+
 def run() -> None:
     app()
 
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,89 @@
+"""Fault search in virtual time: courses that replay, a defect found and shrunk, files with one clear refusal."""
+import subprocess
+import sys
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sprucespool.emulator.hunt import KINDS, Course, Fault, Found, drawn, play, shrunk
+from sprucespool.judge.group import BrokenInvariant
+from sprucespool.lab.hunting import hunt, opened, played
+
+
+def command(*words):
+    return subprocess.run([sys.executable, "-m", "sprucespool.cli.main", "lab", *map(str, words)], capture_output=True,
+                          text=True, timeout=120)
+
+
+def test_the_same_course_plays_the_same_and_the_sound_build_keeps_all_that_must_hold():
+    first, again, other = (play(drawn(seed), after=46_000.0) for seed in (8, 8, 3))
+    assert first == again and first.events > 10_000 and other.events != first.events
+    assert first.broken == [] and other.broken == []
+
+
+def test_courses_of_chance_are_over_in_time_and_of_every_kind():
+    courses = [drawn(seed) for seed in range(200)]
+    assert {fault.kind for course in courses for fault in course.faults} == set(KINDS)
+    assert all(fault.at + fault.lasts <= 26_000.0 for course in courses for fault in course.faults)
+    assert len({str(course.faults) for course in courses}) == 200
+
+
+def test_a_seeded_defect_is_found_shrunk_written_and_replayed(tmp_path):
+    found = hunt("failover-a", range(5, 6), workers=1, folder=tmp_path)
+    assert found.small is not None and found.first is not None and found.path is not None
+    assert len(found.small.course.faults) <= len(found.first.course.faults)
+    assert "failover a" in found.small.which
+    course = opened(found.path)
+    assert course == found.small.course and played(course).broken == found.small.broken
+    replay = command("replay", found.path)
+    assert replay.returncode == 1 and "(failover a) at" in replay.stdout
+
+
+@settings(max_examples=100, deadline=None, derandomize=True, database=None)
+@given(st.integers(1, 6), st.sets(st.integers(0, 5), min_size=1, max_size=3), st.integers(1, 10_000))
+def test_what_is_shrunk_still_breaks_the_same_and_can_spare_no_fault(many, needed, least):
+    """Against a world that breaks when all of the needed faults are there, each long enough."""
+    many = max(many, max(needed) + 1)
+    faults = [Fault("rising", 1_000.0 * n, 12_000.0, f"z{n % 3}") for n in range(many)]
+    wanted = {1_000.0 * n for n in needed}
+
+    def again(course):
+        there = {fault.at for fault in course.faults if fault.lasts >= least}
+        return Found(course, [BrokenInvariant("x", 0.0, "")] if wanted <= there else [])
+    small = shrunk(again(Course(faults=faults)), again)
+    assert {fault.at for fault in small.course.faults} == wanted and small.broken
+    assert all(fault.lasts < 2 * max(least, 1_000.0) + 200.0 for fault in small.course.faults)
+
+
+BAD = {
+    'fault "kil" at="1s" lasts="1s"': "expected one of hang, hold",
+    'fault "kill" at="1s" lasts="0s" who="c1"': "lasts above 0",
+    'fault "kill" at="1s" lasts="1s" who="c99"': "no controller 'c99'",
+    'fault "hang" at="1s" lasts="1s" zone="z9"': "no zone 'z9'",
+    'controllers 2': "expected 3 to 1000 controllers",
+    'fualt "kill" at="1s" lasts="1s"': "fualt",
+}
+
+
+@pytest.mark.parametrize("line", BAD)
+def test_a_course_with_a_typo_is_refused_with_line_and_expectation(tmp_path, line):
+    path = tmp_path / "course.kdl"
+    path.write_text(f"seed 1\n{line}\n")
+    found = command("replay", path)
+    assert found.returncode == 2 and len(found.stderr.splitlines()) == 1 and BAD[line].replace(
+        "hang, hold", "") in found.stderr, found.stderr
+    assert "course.kdl" in found.stderr
+
+
+def test_unknown_builds_and_spans_are_refused_and_a_full_folder_is_named(tmp_path):
+    unknown = command("hunt", "--build", "oracle")
+    assert unknown.returncode == 2 and "expected one of sound" in unknown.stderr
+    span = command("hunt", "--seeds", "5-1")
+    assert span.returncode == 2 and "expected FIRST-LAST" in span.stderr
+    with pytest.raises(ValueError, match="build: expected one of sound"):
+        played(msgspec.structs.replace(drawn(1), build="oracle"))
+    (tmp_path / "file").write_text("")
+    with pytest.raises(OSError):
+        hunt("failover-e", range(1, 3), workers=1, folder=tmp_path / "file")
