--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	$(VENV)/bin/sprucespool day days/demo.kdl
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest
+	$(VENV)/bin/python -m pytest -m "not sockets" -n auto --dist worksteal
+	$(VENV)/bin/python -m pytest -m sockets
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff check .
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,8 @@
 
 from sprucespool.wire import names
 
+pytestmark = pytest.mark.sockets
+
 SETTINGS = ('listen "127.0.0.1:0"\nroster file="{0}/invokers.kdl"\nrecord "{0}/inputs"\nstop-within "3s"\n'
             'model-group "line" slo-time="600ms" route-timeout="2500ms"\nlog file="{0}/log"\n')
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -14,6 +14,8 @@
 from sprucespool.wire import inference_pb2 as oip
 from sprucespool.wire import names
 
+pytestmark = pytest.mark.sockets
+
 INFER, STREAM = names.MODEL_INFER, names.MODEL_STREAM_INFER
 Code = grpc.StatusCode
 BIG = [("grpc.max_receive_message_length", -1), ("grpc.max_send_message_length", -1)]
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -15,6 +15,8 @@
 from sprucespool.standin.starving import TICK, Starving
 from sprucespool.standin.trace import Notes
 
+pytestmark = pytest.mark.sockets
+
 HEAD = """
 lasts "7s"
 controllers 2
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -11,6 +11,8 @@
 
 from sprucespool.wire import names
 
+pytestmark = pytest.mark.sockets
+
 Code = grpc.StatusCode
 
 
--- a/tests/test_failover_sockets.py
+++ b/tests/test_failover_sockets.py
@@ -10,6 +10,8 @@
 
 from sprucespool.cli.zones import drain, fetch
 
+pytestmark = pytest.mark.sockets
+
 # Bounds are generous: a machine loaded threefold shall come to the same verdict. Answers leave 400 ms early for it:
 # thirty processes a day, two days at once, were seen to answer up to 0.46 s late at a load of 12 on 8 cores.
 HEAD = """
--- a/tests/test_fleet_sockets.py
+++ b/tests/test_fleet_sockets.py
@@ -14,6 +14,8 @@
 from sprucespool.judge import fleet as seen
 from sprucespool.standin.rig import Rig
 
+pytestmark = pytest.mark.sockets
+
 # Bounds are generous: a machine loaded threefold shall come to the same verdict.
 HEAD = """
 lasts "17s"
--- a/tests/test_group_sockets.py
+++ b/tests/test_group_sockets.py
@@ -14,6 +14,8 @@
 from sprucespool.settings.controller import Place
 from sprucespool.standin.rig import Rig
 
+pytestmark = pytest.mark.sockets
+
 SILENT = LinkState(cut="silent")
 # Generous: a machine loaded threefold shall come to the same verdict.
 BOUNDS = seen.Bounds(alike_within=30_000.0, cleared_within=40_000.0, dead_within=60_000.0)
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -29,6 +29,8 @@
 from sprucespool.wire import names
 from sprucespool.wire import platform_pb2 as platform
 
+pytestmark = pytest.mark.sockets
+
 FAST = settings(max_examples=200, deadline=None, derandomize=True, database=None)
 KEEP = 10_000.0
 CLAIM = st.builds(Claim, st.sampled_from("ab"), st.sampled_from("xy"), st.sampled_from("mn"), st.integers(1, 3),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,11 +7,15 @@
 import sys
 import time
 
+import pytest
 from platform_world import asked, configuration, frame
+
 from sprucespool.node.logs import Log
 from sprucespool.node.serve import Node
 from sprucespool.relay.configuration import read
 
+pytestmark = pytest.mark.sockets
+
 KEY = "7f3a9c21e0b4d655"
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -14,6 +14,8 @@
 from sprucespool.relay.configuration import ConfigurationError, read
 from sprucespool.relay.feed import EntryError, FeedLink, Roster, Told
 
+pytestmark = pytest.mark.sockets
+
 
 def pieces(data: bytes, cuts: list[int]):
     edges = [0, *sorted({cut % (len(data) + 1) for cut in cuts}), len(data)]
