--- a/sprucespool/cli/main.py
+++ b/sprucespool/cli/main.py
@@ -327,6 +327,73 @@
         raise _refuse(f"{course}: {problem}") from None
 
 
+@lab.command("day")
+def lab_day(
+        script: Path, seed: Annotated[int | None, typer.Option(help="Another seed than the script's.")] = None,
+        controllers: Annotated[int | None, typer.Option(help="More than the script says.", min=1, max=1000)] = None,
+        invokers: Annotated[int | None, typer.Option(help="Another fleet, with its part of traffic.", min=1,
+                                                     max=1000)] = None,
+        decider: str = "hiku", json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False,
+        sockets: Annotated[bool, typer.Option("--sockets", help="Over sockets too, both side by side.")] = False,
+        save: Annotated[Path | None, typer.Option(help="Stop at `--at` and write the world to this file.")] = None,
+        at: Annotated[str, typer.Option(help="When to stop, such as 15s.")] = "15s") -> None:
+    """Play a day's script in virtual time, on the objects that serve; status 1 if a rule or invariant was broken."""
+    from sprucespool.cli.lab import run_day
+    from sprucespool.emulator.group import StandsStill
+    from sprucespool.standin.script import Day
+    told = _read(Day, script)
+    _decider(decider)
+    if seed is not None:
+        told.seed = seed
+    try:
+        raise typer.Exit(run_day(told, controllers, invokers, decider, json, sockets, save,
+                                 quantity(at, DURATIONS, "15s")))
+    except (ValueError, StandsStill) as problem:
+        raise _refuse(f"{script}: {problem}") from None
+    except OSError as problem:
+        raise _refuse(f"{problem.filename or save}: {problem.strerror or problem}") from None
+
+
+@lab.command("go-on")
+def lab_go_on(saved: Path, json: Annotated[bool, typer.Option("--json", help="One JSON object.")] = False) -> None:
+    """Play a saved world to its day's end."""
+    from sprucespool.cli.lab import run_go_on
+    from sprucespool.emulator.group import StandsStill
+    try:
+        raise typer.Exit(run_go_on(saved, json))
+    except (ValueError, StandsStill) as problem:
+        raise _refuse(f"{saved}: {problem}") from None
+    except OSError as problem:
+        raise _refuse(f"{saved}: {problem.strerror or problem}") from None
+
+
+@lab.command("run")
+def lab_run(plan: Path, folder: Annotated[Path, typer.Option(help="Where results are kept.")] = Path("results"),
+            workers: Annotated[int, typer.Option(min=1, max=256)] = 4) -> None:
+    """Play a plan of experiments; run again on the same folder, it goes on where it was cut off."""
+    from sprucespool.cli.lab import run_sweep
+    from sprucespool.lab.sweep import SweepPlan
+    told = _read(SweepPlan, plan)
+    try:
+        raise typer.Exit(run_sweep(told, folder, workers))
+    except ValueError as problem:
+        raise _refuse(str(problem)) from None
+    except OSError as problem:
+        raise _refuse(f"{problem.filename or folder}: {problem.strerror or problem}") from None
+
+
+@lab.command("report")
+def lab_report(folder: Path, out: Annotated[Path, typer.Option(help="The page.")] = Path("report.html")) -> None:
+    """One HTML page of a sweep's results."""
+    from sprucespool.lab.report import report
+    try:
+        out.write_text(report(folder), encoding="utf-8")
+    except (Refused, ValueError) as problem:
+        raise _refuse(str(problem)) from None
+    except OSError as problem:
+        raise _refuse(f"{problem.filename or folder}: {problem.strerror or problem}") from None
+
+
 def run() -> None:
     app()
 
--- a/sprucespool/emulator/fleet.py
+++ b/sprucespool/emulator/fleet.py
@@ -13,9 +13,10 @@
 from typing import Any
 
 from sprucespool.emulator.group import Virtual
-from sprucespool.fleet import Codec, Fleet, FleetLimits, Listed, Note, Peer, Place, Send, Told
+from sprucespool.fleet import Codec, Doubt, Fleet, FleetLimits, Listed, Note, Peer, Place, Send, Told
 from sprucespool.fleet.fleet import STATUS
 from sprucespool.judge import fleet as seen
+from sprucespool.judge import group as group_seen
 from sprucespool.judge.group import Began, Ended, Faulted
 from sprucespool.membership import Group, GroupLimits, Message
 from sprucespool.membership.messages import MOVES
@@ -73,7 +74,7 @@
     def __init__(self, size: int, boxes: int, seed: int = 1, share: bool = True, rate: float = 2.0, lag: float = 800.0,
                  grace: float = 2_000.0, kind: type[Fleet] = Fleet, limits: GroupLimits | None = None,
                  fleet_limits: FleetLimits | None = None, zones: int = 3, liars: int = 0,
-                 liar: type[Fleet] = Fleet, settled: bool = True, member: type[Group] = Group):
+                 liar: type[Fleet] = Fleet, settled: bool = True, member: type[Group] = Group, loss: float = 0.0):
         self.kind, self.fleet_limits, self.share, self.rate = kind, fleet_limits or FleetLimits(), share, rate
         self.liars, self.liar, self.lag, self.extra, self.grace = liars, liar, lag, 0.0, grace
         self.fleets: dict[Group, Fleet] = {}
@@ -83,6 +84,7 @@
         self.out: dict[int, tuple[Group, Box, str]] = {}
         self.figures = Figures()
         self.noted: list[seen.Happened] = []
+        self.group_noted: list[group_seen.Happened] = []
         self.told: dict[tuple[str, str], float] = {}
         self.version, self.roster_up = 0, True
         self.rows: dict[str, Told] = {}
@@ -93,9 +95,9 @@
         self.moments: list[Any] = []
         self.usable: list[float] = []
         self.streams: dict[Group, float] = {}
-        super().__init__(size, seed, zones, 0.0, limits, 3, member, settled)
+        super().__init__(size, seed, zones, loss, limits, 3, member, settled)
         for n in range(boxes):
-            box = Box(f"i{n}", f"w{n}", f"z{n % zones}", f"b{next(self.boots)}", -1e6)
+            box = Box(f"i{n}", f"w{n}", self.zone_of(n), f"b{next(self.boots)}", -1e6)
             self.boxes[box.address] = box
             self.rows[box.address] = self._row(box)
             self.noted.append(seen.Born(0.0, box.address, box.boot))
@@ -182,6 +184,7 @@
         for doubt in doubts:
             (mind.doubted.add if doubt.ill else mind.doubted.discard)(doubt.address)
         self.moments += [(one.name, event) for event in events]
+        self._learned(one, places, doubts)
         due = max(self.now + 1.0, fleet.due() - self.clock.get(one.name, 0.0))
         if due < self.fleet_due.get(one, math.inf) or self.fleet_due.get(one, math.inf) <= self.now:
             self.fleet_due[one] = due
@@ -191,6 +194,9 @@
                     self._fleet_tick(one)
             self._later(due - self.now, act)
 
+    def _learned(self, one: Group, places: list[Place], doubts: list[Doubt]):
+        """What the view told a controller's user just now."""
+
     def _fleet_tick(self, one: Group):
         if one not in self.fleets:
             return
@@ -413,6 +419,21 @@
             self.noted.append(seen.FleetView(self.now, name, f"{fleet.digest:016x}", [
                 (place.address, place.boot, place.status) for place in fleet.told.values()]))
 
+    def note_members(self) -> None:
+        """How all that run see the group, for its judge."""
+        for name, one in self.members.items():
+            if name in self.still:
+                continue
+            rows = [group_seen.SeenRow(row.name, row.start, row.state.name.lower(), row.incarnation, row.version)
+                    for row in (held.row for held in one.book.held.values())]
+            rows.append(group_seen.SeenRow(name, one.start, "alive", one.me.incarnation, one.me.version))
+            self.group_noted.append(group_seen.SeenView(
+                self.now, name, one.start, f"{one.digest:016x}", one.part(), rows))
+
+    def group_verdict(self, bounds: group_seen.Bounds) -> group_seen.Verdict:
+        return group_seen.check([*self.group_noted, *(one for one in self.noted if not isinstance(
+            one, seen.FleetView | seen.WasTold | seen.Reached | seen.Born))], bounds, self.now)
+
     def looking(self, every: float) -> None:
         self.look()
         self._later(every, lambda: self.looking(every))
--- a/sprucespool/emulator/group.py
+++ b/sprucespool/emulator/group.py
@@ -12,6 +12,16 @@
 from sprucespool.membership import About, Codec, Event, Group, GroupLimits, Message, Say
 
 LOOK_EVERY = 100.0
+# Events at one instant; a whole fleet that starts at once has some thousands.
+MOST_AT_ONCE = 1_000_000
+
+
+class StandsStill(RuntimeError):
+    """Time does not go on: something is due again and again at one instant."""
+
+    def __init__(self, now: float, act: Callable[[], None]):
+        inner = getattr(act, "func", act)
+        super().__init__(f"time stands still at {now:.3f} ms: {getattr(inner, '__qualname__', inner)} comes up again")
 
 
 class Virtual:
@@ -51,7 +61,7 @@
         old = self.by_address.get(address)
         if old is not None and self.members.get(old.name) is old:
             del self.members[old.name]
-        about = About("region", zone or f"z{number % self.zones}", number, of)
+        about = About("region", zone or self.zone_of(number), number, of)
         one = self.member(name, address, self.starts, self.seeds if seeds is None else seeds, about,
                           self.seed * 100_003 + self.starts, self.limits, b"secret of %d" % self.starts)
         self.members[name] = self.by_address[address] = one
@@ -59,6 +69,10 @@
         self._later(self.chance.uniform(0, 100), lambda: self._tick(one))
         return one
 
+    def zone_of(self, number: int) -> str:
+        """Of the controller, or the invoker, of that number."""
+        return f"z{number % self.zones}"
+
     def restart(self, name: str, address: str | None = None) -> Group:
         old = self.members[name]
         self.kill(name)
@@ -163,10 +177,14 @@
             self._arm(one)
 
     def run(self, span: float, until: Callable[[], bool] | None = None, every: float = LOOK_EVERY) -> float | None:
-        """Let time go on; gives after how many ms `until` held, or None."""
-        begun, end, looked = self.now, self.now + span, self.now
+        """Let time go on; gives after how many ms `until` held, or None. Raises StandsStill."""
+        begun, end, looked, same = self.now, self.now + span, self.now, 0
         while self.heap and self.heap[0][0] <= end:
-            self.now, _, act = heapq.heappop(self.heap)
+            at, _, act = heapq.heappop(self.heap)
+            same = same + 1 if at == self.now else 0
+            self.now = at
+            if same > MOST_AT_ONCE:
+                raise StandsStill(self.now, act)
             act()
             if until is not None and self.now - looked >= every:
                 looked = self.now
--- a/sprucespool/emulator/hunt.py
+++ b/sprucespool/emulator/hunt.py
@@ -108,7 +108,6 @@
     """Notes besides what the group's judge reads."""
 
     def __init__(self, course: Course, build: Build):
-        self.group_noted: list[group_seen.Happened] = []
         self.parted: dict[str, list[list[str]]] = {}
         self.uneven: set[str] = set()
         self.names = {f"c{n}" for n in range(course.controllers)}
@@ -118,14 +117,7 @@
     def look(self) -> None:
         super().look()
         self.note_views()
-        for name, one in self.members.items():
-            if name in self.still:
-                continue
-            rows = [group_seen.SeenRow(row.name, row.start, row.state.name.lower(), row.incarnation, row.version)
-                    for row in (held.row for held in one.book.held.values())]
-            rows.append(group_seen.SeenRow(name, one.start, "alive", one.me.incarnation, one.me.version))
-            self.group_noted.append(group_seen.SeenView(
-                self.now, name, one.start, f"{one.digest:016x}", one.part(), rows))
+        self.note_members()
 
     def changed(self) -> None:
         """What of it concerns the group: a clean part by its sides, all else as uneven."""
@@ -282,9 +274,7 @@
         world.set(fault)
     last = max((fault.at + fault.lasts for fault in course.faults), default=FIRST)
     world.run(last + after)
-    group = group_seen.check([*world.group_noted, *(one for one in world.noted if not isinstance(
-        one, fleet_seen.FleetView | fleet_seen.WasTold | fleet_seen.Reached | fleet_seen.Born))], group_seen.Bounds(
-            30_000.0, 30_000.0, 45_000.0), world.now)
+    group = world.group_verdict(group_seen.Bounds(30_000.0, 30_000.0, 45_000.0))
     fleet = world.verdict(fleet_seen.FleetBounds(30_000.0, 2_000.0, 8_000.0, 12_000.0))
     bounds = failover_seen.FailoverBounds(
         world.topology.regions, 3_000.0, min((fault.at for fault in course.faults), default=world.now),
--- a/sprucespool/emulator/plans.py
+++ b/sprucespool/emulator/plans.py
@@ -44,7 +44,7 @@
 from sprucespool.failover.council import Ballot, Effect
 from sprucespool.fleet import Fleet, Place
 from sprucespool.judge import failover as judged
-from sprucespool.membership import Group, Message
+from sprucespool.membership import Group, GroupLimits, Message
 
 DECIDERS = ("today", "alone", "common", "top")
 SLO, TTL, GROUP = 600.0, 1_500.0, "line"
@@ -100,15 +100,16 @@
 
     def __init__(self, size: int, boxes: int, seed: int = 1, decider: str = "common", zones: int = 6, regions: int = 3,
                  habits: Habits | None = None, kind: type[Failover] = Failover, steer: type[Steer] = Steer,
-                 limits: PlannerLimits | None = None, voters: int = 3, replace_after: float = 30_000.0,
-                 fleet: type[Fleet] = Fleet, **more: Any):
+                 limits: PlannerLimits | None = None, voters: int | tuple[str, ...] = 3,
+                 replace_after: float = 30_000.0, fleet: type[Fleet] = Fleet, group_limits: GroupLimits | None = None,
+                 **more: Any):
         if decider not in DECIDERS:
             raise ValueError(f"decider: expected one of {', '.join(DECIDERS)}, got {decider!r}")
         self.decider, self.habits, self.failover_kind, self.steer_kind = decider, habits or Habits(), kind, steer
-        self.topology = Topology({f"z{n}": f"r{n % regions}" for n in range(zones)})
+        self.topology = Topology(self.regions_of(zones, regions))
         self.planner_limits = limits or PlannerLimits()
         self.plan_codec = Codec("virtual", "mark")
-        self.voters = tuple(f"c{n}" for n in range(voters))
+        self.voters = tuple(f"c{n}" for n in range(voters)) if isinstance(voters, int) else voters
         self.replace_after = replace_after
         self.parts: dict[Group, _Part] = {}
         self.ballots: dict[str, Ballot] = {}
@@ -126,7 +127,7 @@
         mean = sum(self.habits.run) / 2
         rate = self.habits.load * boxes * self.habits.cores / (mean / 1000.0) / size
         self.sight: dict[str, ZoneState] = {}
-        super().__init__(size, boxes, seed, True, rate, kind=fleet, zones=zones, **more)
+        super().__init__(size, boxes, seed, True, rate, kind=fleet, zones=zones, limits=group_limits, **more)
         self.load = lambda one: self.parts[one].meter.figures(self.now) if one in self.parts else ()
         self.latency: dict[tuple[str, str], tuple[float, float]] = {}
         for one, other in ((a, b) for a in self.topology.zones for b in self.topology.zones if a < b):
@@ -134,6 +135,10 @@
             self.latency[one, other] = self.latency[other, one] = (1.0, 3.0) if same else (8.0, 14.0)
         self._later(0.0, self._see_all)
 
+    def regions_of(self, zones: int, regions: int) -> dict[str, str]:
+        """The region of each zone."""
+        return {f"z{n}": f"r{n % regions}" for n in range(zones)}
+
     def join(self, name: str, address: str, zone: str | None = None, seeds: list[str] | None = None, number: int = 0,
              of: int = 1) -> Group:
         one = super().join(name, address, zone, seeds, number, of)
--- a/sprucespool/judge/rules.py
+++ b/sprucespool/judge/rules.py
@@ -6,6 +6,7 @@
 
 from sprucespool.judge.seen import (
     Answer,
+    BadLink,
     Booted,
     Came,
     Died,
@@ -179,6 +180,8 @@
     """Rule 2: no effect twice."""
     broken = []
     places = {one.invoker: (one.zone, one.cell) for one in seen if isinstance(one, Booted)}
+    names = {one.boot: one.place for one in seen if isinstance(one, Booted)}
+    links = [one for one in seen if isinstance(one, BadLink)]
     for one in tries.values():
         group = facts.groups[one.sent.group]
         forwards = sorted(one.forwards, key=lambda forward: forward.came.t)
@@ -186,7 +189,8 @@
             for earlier in forwards[:n]:
                 gap = later.came.t - earlier.came.t
                 there, here = places.get(earlier.came.invoker, ("", "")), places.get(later.came.invoker, ("", ""))
-                if not facts.may_duplicate and (
+                # A controller cannot call off in time what its words reach late or never.
+                if not facts.may_duplicate and not _bad(links, earlier.came, names, later.came.t) and (
                         earlier.went is None and gap > facts.overlap and _alive(seen, earlier, later.came.t)
                         or earlier.went is not None and earlier.went.t > later.came.t + facts.overlap + machine.kept(
                             later.came.t - facts.overlap, earlier.went.t, "stage", earlier.came.boot)):
@@ -212,6 +216,12 @@
     return broken
 
 
+def _bad(links: list[BadLink], came: Came, names: dict[str, str], at: float) -> bool:
+    """Whether the link between its controller and its invoker was bad at some moment until `at`."""
+    return any(one.controller == came.controller and one.place == names.get(came.boot) and one.t <= at
+               and one.until >= came.t for one in links)
+
+
 def _alive(seen: list[Seen], forward: _Forward, at: float) -> bool:
     """Whether the process that has the forward still lived: what died with it is out nowhere."""
     return not any(isinstance(one, (Died, PushedOver)) and one.boot == forward.came.boot and one.t <= at
--- a/sprucespool/judge/seen.py
+++ b/sprucespool/judge/seen.py
@@ -81,6 +81,8 @@
     cold: bool = True
     zone: str = ""
     cell: str = ""
+    # Where links go bad by name: what it is called there.
+    place: str = ""
 
 
 class Died(_Seen):
@@ -118,6 +120,13 @@
     stolen: float
 
 
+class BadLink(_Seen):
+    """Until `until` what went from the controller to the place of an invoker (i0), or back, came late or never."""
+    controller: int
+    place: str
+    until: float
+
+
 class Killed(_Seen):
     """A controller process was ended without grace."""
     controller: int
@@ -130,7 +139,7 @@
 
 
 Seen = (Sent | Answer | NoAnswer | LeftEarly | Unreached | Came | Went | Ordered | Booted | Died | PushedOver | Told
-        | Stalled | Starved | Killed | Count)
+        | Stalled | Starved | BadLink | Killed | Count)
 _DECODER = msgspec.json.Decoder(Seen)
 ENCODER = msgspec.json.Encoder()
 
--- a/sprucespool/standin/baselines.py
+++ b/sprucespool/standin/baselines.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from sprucespool import interface as it
-from sprucespool.gateway import Gateway
+from sprucespool.gateway import Decider, Gateway
 from sprucespool.gateway.messages import AnswerFailed, AnswerShed
 from sprucespool.policy import Controller
 
@@ -122,7 +122,7 @@
             actions.append(it.Order(self.pods[0].entry.invoker, event.inference.model, 1))
 
 
-DECIDERS: dict[str, Callable[[it.Deployment, int], object]] = {
+DECIDERS: dict[str, Callable[[it.Deployment, int], Decider]] = {
     "hiku": Controller, "random": RandomChoice, "least-in-flight": LeastInFlight,
     "broken-1": Controller, "broken-2": _Repeats, "broken-3": _IgnoresDrains, "broken-4": _PushesCold,
     "broken-5": _OrdersFreely,
--- a/sprucespool/standin/invoker.py
+++ b/sprucespool/standin/invoker.py
@@ -73,6 +73,8 @@
     faults: list[Fault] = []
     # The address that others know it by; None: where it listens.
     advertise: str | None = None
+    # Its place in the day, by which links to it are cut.
+    place: str = ""
 
 
 @dataclass(slots=True, eq=False)
@@ -135,7 +137,7 @@
         self.worker.born = now_ms()
         facts = self.plan.facts
         self.note(seen.Booted(now_ms(), self.name, self.plan.boot, facts.cores, facts.speed, self.plan.cold,
-                              self.plan.zone, self.plan.cell))
+                              self.plan.zone, self.plan.cell, self.plan.place))
         return found
 
     def begin(self, at: float) -> None:
--- a/sprucespool/standin/stage.py
+++ b/sprucespool/standin/stage.py
@@ -40,6 +40,7 @@
     ZonePlace,
 )
 from sprucespool.standin.clients import ClientsPlan
+from sprucespool.standin.badlinks import BadLinks, parted
 from sprucespool.standin.invoker import InvokerPlan
 from sprucespool.standin.links import Relays
 from sprucespool.standin.platform import DRAINING, GONE, LibraryService, Listed, Roster
@@ -148,6 +149,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.all: list[Process] = []
         self.killed: set[Process] = set()
+        self.bad_links = BadLinks()
         self.starving = Starving(self.notes)
         self.starving.add("stage", os.getpid())
         # Only where the day has a group: what stands between processes, and the watch on their views.
@@ -185,7 +187,7 @@
             listen = "127.0.0.1:0"
         plan = InvokerPlan(listen, boot, facts, self.catalog, None, self.platform, str(notes), cold, habits.tells,
                            slot.zone, slot.cell, day.seed * 100 + self.boots, 10_000.0, self.plan.faults[slot.number],
-                           relay.address if relay else None)
+                           relay.address if relay else None, f"i{slot.number}")
         path = self.folder / f"invoker-{boot}.json"
         path.write_bytes(msgspec.json.encode(plan))
         process = Process([sys.executable, "-m", "sprucespool.standin.invoker", str(path)],
@@ -382,6 +384,11 @@
         else:
             raise StageFailed(f"no such step: {step.what}")
 
+    def _links_changed(self):
+        assert self.relays is not None
+        return self.bad_links.look(now_ms(), self.relays.links, range(self.day.controllers),
+                              [f"i{slot.number}" for slot in self.plan.slots])
+
     def _link(self, step: Step):
         assert self.relays is not None
         links = self.relays.links
@@ -393,26 +400,16 @@
             one, other = step.sides
             links.put(step.name, one, other, step.state, step.both)
         self.relays.changed()
+        for link in self._links_changed():
+            self.notes.write(link)
         self._faulted()
 
     def _faulted(self):
-        """What of it concerns the group, for its judge: clean parts by their sides, all else as uneven."""
+        """What of it concerns the group, for its judge."""
         if self.relays is None or self.watch is None:
             return
-        rules = {name: rules for name, rules in self.relays.links.rules.items() if not name.startswith("distance")}
-        every = {f"c{n}" for n in range(self.day.controllers)}
-        # Who is cut off from the roster or from invokers alone still reaches all other controllers.
-        rules = {name: one for name, one in rules.items() if any(
-            (rule.sources is None or rule.sources & every) and (rule.targets is None or rule.targets & every)
-            for rule in one)}
-        sides: list[list[str]] = []
-        for one in rules.values():
-            told = [side for rule in one for side in (rule.sources, rule.targets) if side is not None]
-            parts = {frozenset(every & side) for side in told}
-            clean = all(rule.state.cut for rule in one) and len(one) == len(parts) * (len(parts) - 1)
-            if len(rules) == 1 and clean and set().union(*parts) == every and sum(map(len, parts)) == len(every):
-                sides = [sorted(part) for part in parts]
-        state = sides, sorted(self.watch.quiet), bool(rules) and not sides
+        sides, uneven = parted(self.relays.links, (f"c{n}" for n in range(self.day.controllers)))
+        state = sides, sorted(self.watch.quiet), uneven
         if state != self.faulted:
             self.faulted = state
             self.watch.note(group_seen.Faulted(now_ms(), *state))
@@ -466,6 +463,8 @@
                 self.unclean.append(f"the clients did not end: {clients.last_words()}")
             while self.tasks:
                 await asyncio.wait(self.tasks, timeout=20.0)
+            for link in self.bad_links.all_over(now_ms()):
+                self.notes.write(link)
             verdict = self._group_verdict()
             await self._end_all()
             return self._result(verdict)
