--- a/sprucespool/lab/sweep.py
+++ b/sprucespool/lab/sweep.py
@@ -233,12 +233,12 @@
         try:
             with open(self.path, "ab") as out:
                 out.write(line + b"\n")
-        except OSError:
+        except OSError as problem:
             # Against half a line in the middle, which nobody could read later.
             if self.path.exists():
                 with open(self.path, "r+b") as out:
                     out.truncate(before)
-            raise
+            raise OSError(problem.errno, problem.strerror, str(self.path)) from None
 
     def _read(self) -> tuple[_First, list[Row], int]:
         data = self.path.read_bytes()
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -29,6 +29,7 @@
 
 OK, SHED = seen.Answer(900.0, "a", 0), seen.Answer(900.0, "a", 8)
 PLACES = [boot("w1", "x"), boot("w2", "x"), boot("w3", "y")]
+NAMED = [seen.Booted(-1e6, f"w{n}", f"w{n}#", 2, 1.0, False, "x", "", f"i{n}") for n in (1, 2)]
 CASES = {
     "answered in time": ([sent(), OK], []),
     "two answers": ([sent(), OK, seen.Answer(950.0, "a", 2)], [1]),
@@ -46,6 +47,15 @@
         [sent(), seen.Starved(600.0, 500.0, {"c0": 90.0}, 0.0), seen.Answer(1300.0, "a", 2)], [1]),
     "late by more than a look can keep": (
         [sent(), seen.Starved(1100.0, 1000.0, {"c0": 90.0, "clients": 90.0}, 90.0), seen.Answer(1360.0, "a", 2)], [1]),
+    "called off in time, its word late on a bad link": (
+        [sent(), *NAMED, came(0.0), seen.BadLink(50.0, 0, "i1", 400.0), came(100.0, 2, invoker="w2"),
+         went(300.0, "cancelled"), OK], []),
+    "called off late on a link that was bad before": (
+        [sent(t=500.0), *NAMED, came(500.0), seen.BadLink(50.0, 0, "i1", 400.0), came(600.0, 2, invoker="w2"),
+         went(800.0, "cancelled"), OK], [2]),
+    "called off late while another's link is bad": (
+        [sent(), *NAMED, came(0.0), seen.BadLink(50.0, 1, "i1", 400.0), seen.BadLink(50.0, 0, "i2", 400.0),
+         came(100.0, 2, invoker="w2"), went(300.0, "cancelled"), OK], [2]),
     "never, on a busy machine": (
         [sent(), seen.Starved(2500.0, 0.0, {"c0": 2400.0}, 0.0), seen.NoAnswer(2500.0, "a")], [1]),
     "never": ([sent(), seen.NoAnswer(1600.0, "a")], [1]),
--- /dev/null
+++ b/tests/test_lab_days.py
@@ -0,0 +1,280 @@
+"""Days in virtual time on the module itself, saved runs, sweeps and their reports."""
+import hashlib
+import json
+import resource
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import polars
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_days import DAYS, HEAD, SOUND
+
+from sprucespool.emulator.group import StandsStill
+from sprucespool.gateway import Gateway
+from sprucespool.faults import Links, LinkState
+from sprucespool.judge import seen
+from sprucespool.lab import saving, sweep
+from sprucespool.lab.compare import compared, interval
+from sprucespool.lab.days import begun, play, sized
+from sprucespool.lab.saving import SavedError
+from sprucespool.lab.sweep import Experiment, Job, Results, ResultsError, Row, SweepPlan
+from sprucespool.policy import Controller
+from sprucespool.settings import read
+from sprucespool.standin.badlinks import BadLinks
+from sprucespool.standin.baselines import DECIDERS, GATEWAYS
+from sprucespool.standin.script import Day
+
+ROOT = Path(__file__).parent.parent
+
+
+def script(text):
+    return read(Day, HEAD + text, "day")
+
+
+def digest(world):
+    told = msgspec.json.encode([world.notes, [repr(one) for one in (*world.noted, *world.group_noted, *world.views)]])
+    return hashlib.blake2b(told).hexdigest()
+
+
+def test_a_day_of_trouble_keeps_the_rules_and_accounts_for_every_inference():
+    found = play(script(SOUND))
+    table = found.table
+    assert found.broken == [] and found.faults == 0
+    assert table.taken > 300 and table.in_slo_time > 0.4 * table.taken
+    assert table.taken == table.in_slo_time + table.late + table.shed + table.failed + table.left + table.unreached
+
+
+@pytest.mark.parametrize("build", DAYS)
+def test_a_controller_without_one_guard_is_told_on_the_script_that_tells_it_over_sockets(build):
+    rule = int(build[-1])
+    found = play(script(DAYS[build]), DECIDERS[build], None, GATEWAYS.get(build, Gateway))
+    assert rule in {broken.rule for broken in found.broken}
+    assert play(script(DAYS[build])).broken == []
+
+
+def test_a_module_that_raises_costs_its_inferences_and_nothing_else():
+    class Raises(Controller):
+        def handle(self, now, events):
+            if now > 3_000.0 and int(now) % 7 == 0:
+                raise RuntimeError("a fault of the module")
+            return super().handle(now, events)
+    found = play(script(SOUND), Raises)
+    assert found.faults > 10 and found.table.failed > 10 and found.table.in_slo_time > 100
+    assert {broken.rule for broken in found.broken} <= {2, 3, 4, 5}
+
+
+def test_time_that_stands_still_is_noticed_and_named(monkeypatch):
+    world = begun(script(SOUND))
+    monkeypatch.setattr("sprucespool.emulator.group.MOST_AT_ONCE", 5_000)
+
+    def again_and_again():
+        world._later(0.0, again_and_again)
+    world._later(1_000.0, again_and_again)
+    with pytest.raises(StandsStill, match="at 1000.000 ms: .*again_and_again"):
+        world.run(7_000.0)
+
+
+def test_what_has_no_meaning_without_connections_is_refused():
+    for text, named in (('name "x"\nfleet\ntrouble "go-away" at="1s" lasts="1s"\n', "trouble go-away"),
+                        ('name "x"\nfleet\ntold "all"\n', "told: expected none")):
+        with pytest.raises(ValueError, match=named):
+            play(script(text))
+
+
+GROUP = ('name "together"\nzones "a" "b"\ngroup period="500ms" view=#true\nfailover voters="c0,c1,c2"\n'
+         'fleet drain-grace="500ms" warm-after="5s"\n' + HEAD.replace("controllers 2", "controllers 4")
+         + 'trouble "partition" at="1s" lasts="2s" between="a" and="b"\n'
+           'trouble "invokers-lost" at="3500ms" lasts="1s" what="a"\n'
+           'trouble "controller-kill" at="4s" what="c3"\n')
+GOES_ON = """
+import sys
+sys.path.insert(0, "tests")
+from pathlib import Path
+from sprucespool.lab import saving
+from test_lab_days import digest
+world = saving.load(Path(sys.argv[1]))
+world.run(9_000.0 - world.now)
+print(digest(world), world.now)
+"""
+
+
+def test_a_world_saved_in_the_middle_goes_on_to_the_same_bytes_in_another_process(tmp_path):
+    whole, half = (begun(read(Day, GROUP, "day")) for _ in range(2))
+    whole.run(9_000.0)
+    half.run(3_700.0)
+    saving.save(half, tmp_path / "world")
+    for hashed in ("1", "2"):
+        found = subprocess.run([sys.executable, "-c", GOES_ON, tmp_path / "world"], cwd=ROOT, text=True,
+                               capture_output=True, env={"PYTHONHASHSEED": hashed}, timeout=120)
+        assert found.stdout.split() == [digest(whole), "9000.0"], found.stderr
+
+
+def test_a_saved_world_that_cannot_be_gone_on_from_is_refused(tmp_path, monkeypatch):
+    path, world = tmp_path / "world", begun(script(SOUND))
+    saving.save(world, path)
+    data = path.read_bytes()
+    for bad, why in ((b"no world", "a saved world"), (data[:-9], "cut off"), (data[:30], "head")):
+        path.write_bytes(bad)
+        with pytest.raises(SavedError, match=why):
+            saving.load(path)
+    path.write_bytes(data)
+    assert saving.load(path).now == world.now
+    monkeypatch.setattr(saving, "code", lambda: "another")
+    with pytest.raises(SavedError, match="same code"):
+        saving.load(path)
+
+
+def test_the_same_day_for_another_fleet_has_its_part_of_traffic():
+    day = script(SOUND)
+    more = sized(day, 20)
+    assert [one.count for one in more.machines] == [20]
+    assert [one.rate for one in more.traffics] == [one.rate * 4 for one in day.traffics]
+    assert begun(more, controllers=5).controllers == 5
+
+
+def test_links_are_bad_from_when_they_are_cut_lossy_or_slow_until_they_are_well():
+    links, watch = Links(), BadLinks()
+    links.put("far", ["c0"], ["i0"], LinkState(delay=15.0, jitter=3.0))
+    links.put("cut", ["c1"], ["i0"], LinkState(cut="silent"), both=False)
+    links.put("lossy", ["c0"], ["i1"], LinkState(loss=0.1))
+    assert watch.look(10.0, links, range(2), ["i0", "i1"]) == []
+    links.heal("cut")
+    assert watch.look(30.0, links, range(2), ["i0", "i1"]) == [seen.BadLink(10.0, 1, "i0", 30.0)]
+    assert watch.all_over(50.0) == [seen.BadLink(10.0, 0, "i1", 50.0)] and watch.all_over(60.0) == []
+
+
+# Sweeps
+
+PLAN = SweepPlan("small", [Experiment("group", "deaths", controllers="6,9"),
+                           Experiment("failover", "zone lost 5 s", "today,common", "6", "12")], seeds=2)
+
+
+def fake(job):
+    return Row(job, {"service": job.seed + 0.25 * (job.decider == "common"), "settled_s": None})
+
+
+def test_a_sweep_that_is_cut_off_goes_on_and_plays_nothing_twice(tmp_path, monkeypatch):
+    count = []
+
+    def counted(job):
+        if len(count) == 3:
+            raise KeyboardInterrupt
+        count.append(job)
+        return fake(job)
+    monkeypatch.setattr(sweep, "played", counted)
+    with pytest.raises(KeyboardInterrupt):
+        sweep.run(PLAN, tmp_path, 1)
+    # Ended in the middle of a line, too.
+    with open(tmp_path / "rows.jsonl", "ab") as out:
+        out.write(b'{"job": {"kind"')
+    first, count[:] = list(count), []
+    monkeypatch.setattr(sweep, "played", lambda job: count.append(job) or fake(job))
+    said = []
+    rows = sweep.run(PLAN, tmp_path, 1, said.append)
+    wanted = sweep.jobs(PLAN)
+    assert len(wanted) == 8 == len(set(wanted)) and first + count == wanted and [row.job for row in rows] == wanted
+    assert "3 of 8 plays were there already" in said[0] and "8 of 8" in said[-1]
+    table = polars.read_parquet(tmp_path / "rows.parquet")
+    assert table.height == 8 and table.filter(polars.col("decider") == "common")["service"].to_list() == [1.25, 2.25]
+    with pytest.raises(ResultsError, match="another folder, or the plan as it was"):
+        sweep.run(msgspec.structs.replace(PLAN, seeds=3), tmp_path, 1)
+
+
+def test_a_play_that_fails_ends_alone_and_says_why():
+    row = sweep.played(Job("day", "days/nowhere.kdl", "hiku", 3, 12, 0.0, 1))
+    assert row.problem.startswith("FileNotFoundError") and row.figures == {}
+
+
+def test_what_is_played_tells_figures_of_its_kind():
+    found = [sweep.played(job) for job in sweep.jobs(SweepPlan("one", [
+        Experiment("group", "steady", controllers="5"), Experiment("failover", "quiet", "common", "6", "12"),
+        Experiment("fleet", "far-drain", "common", "6", "9"),
+        Experiment("day", str(ROOT / "days/hang.kdl"), "hiku", "3", "6")], seeds=1))]
+    assert [row.problem for row in found] == [""] * 4 and [row.broken for row in found] == [[]] * 4
+    steady, failover, fleet, day = (row.figures for row in found)
+    assert steady["settled_s"] == 0.0 and 0.5 < steady["messages_a_second"] < 5.0
+    assert failover["service"] > 0.95 and failover["crossed"] < 0.05
+    assert fleet["late_forwards"] == 0 and 0.5 < day["service"] <= 1.0
+
+
+def test_a_full_disk_is_named_and_leaves_whole_lines(tmp_path):
+    plan = tmp_path / "plan.kdl"
+    plan.write_text('name "full"\nseeds 4\nexperiment "group" case="steady" controllers="3"\n')
+
+    def small():
+        resource.setrlimit(resource.RLIMIT_FSIZE, (700, 700))
+    words = [sys.executable, "-m", "sprucespool.cli.main", "lab", "run", str(plan), "--folder", str(tmp_path / "out"),
+             "--workers", "1"]
+    full = subprocess.run(words, capture_output=True, text=True, preexec_fn=small, timeout=120)
+    assert full.returncode == 2 and "File too large" in full.stderr.splitlines()[-1] and "rows.jsonl" in full.stderr
+    there = Results(tmp_path / "out").rows()
+    assert 0 < len(there) < 4
+    again = subprocess.run(words, capture_output=True, text=True, timeout=120)
+    assert again.returncode == 0 and f"{len(there)} of 4 plays were there already" in again.stderr
+    assert len(Results(tmp_path / "out").rows()) == 4
+
+
+BAD = {
+    'experiment "falover" case="quiet"': "expected one of failover, fleet, group, day, got 'falover'",
+    'experiment "failover" case="quite"': "case: expected one of quiet, zone lost 5 s",
+    'experiment "failover" case="quiet" deciders="comon"': "deciders: expected some of today, alone, common, top",
+    'experiment "failover" case="quiet" controllers="2"': "controllers: expected whole numbers from 3 to 1000",
+    'experiment "failover" case="quiet" loss="half"': "loss: expected numbers from 0",
+    'experimnt "failover" case="quiet"': "experimnt",
+}
+
+
+@pytest.mark.parametrize("line", BAD)
+def test_a_plan_with_a_typo_is_refused_with_line_and_expectation(tmp_path, line):
+    path = tmp_path / "plan.kdl"
+    path.write_text(f'name "x"\n{line}\n')
+    found = subprocess.run([sys.executable, "-m", "sprucespool.cli.main", "lab", "run", str(path)], text=True,
+                           capture_output=True, timeout=60)
+    assert found.returncode == 2 and len(found.stderr.splitlines()) == 1
+    assert "plan.kdl:2" in found.stderr and BAD[line] in found.stderr, found.stderr
+
+
+@settings(max_examples=60, deadline=None, derandomize=True, database=None)
+@given(st.lists(st.floats(-5, 5), min_size=1, max_size=12), st.floats(-3, 3))
+def test_an_interval_lies_about_the_mean_and_moves_with_the_differences(values, by):
+    least, most = interval(values)
+    mean = sum(values) / len(values)
+    assert min(values) - 1e-9 <= least <= mean + 1e-9 and mean - 1e-9 <= most <= max(values) + 1e-9
+    moved = interval([value + by for value in values])
+    assert moved == pytest.approx((least + by, most + by), abs=1e-6)
+
+
+def test_deciders_are_compared_by_seed_and_only_over_seeds_that_both_have():
+    rows = [fake(job) for job in sweep.jobs(PLAN) if job.kind == "failover"]
+    rows.append(Row(Job("failover", "zone lost 5 s", "common", 6, 12, 0.0, 9), {"service": 99.0}))
+    today, common = compared(rows)
+    assert (today.mean, today.more, today.seeds) == (1.5, None, 2)
+    assert common.more == 0.25 == common.least == common.most and common.clear and common.seeds == 3
+
+
+def test_a_report_is_one_page_with_tables_charts_and_the_failover_over_time(tmp_path, monkeypatch):
+    from sprucespool.lab import report as page
+    monkeypatch.setattr(sweep, "played", fake)
+    monkeypatch.setattr(page, "SPAN", 14_000.0)
+    sweep.run(PLAN, tmp_path, 1)
+    told = page.report(tmp_path)
+    assert told.count("<svg") == 2 and "http://" not in told.replace("http://www.w3.org", "")
+    assert '<td class="clear">+0.25</td>' in told and "zone lost 5 s over time" in told
+    assert "Simulated servers" in told and 'experiment "group"' in told.replace("&#34;", '"')
+
+
+def test_a_day_plays_from_the_command_line_and_a_saved_one_goes_on(tmp_path):
+    path = tmp_path / "day.kdl"
+    path.write_text(HEAD + SOUND)
+    words = [sys.executable, "-m", "sprucespool.cli.main", "lab"]
+    whole = subprocess.run([*words, "day", path, "--json"], capture_output=True, text=True, timeout=60)
+    assert whole.returncode == 0, whole.stderr
+    half = subprocess.run([*words, "day", path, "--save", tmp_path / "world", "--at", "3s"], capture_output=True,
+                          text=True, timeout=60)
+    assert half.returncode == 0 and "stands at 3.0 s" in half.stdout
+    rest = subprocess.run([*words, "go-on", tmp_path / "world", "--json"], capture_output=True, text=True, timeout=60)
+    assert json.loads(rest.stdout) == json.loads(whole.stdout) and json.loads(rest.stdout)["rules_broken"] == 0
