Who is cut off from most voters may follow no plan: an invariant that finds a plan nobody renews

The fault search missed a build that follows a plan for ever, as no judge held what it breaks. All servers are simulated.

--- a/sprucespool/emulator/hunt.py
+++ b/sprucespool/emulator/hunt.py
@@ -278,8 +278,9 @@
 
 
 def guided(seed: int, build: str = "sound") -> Course:
-    """A course drawn at where one word decides: voters that hardly hear each other while zones go and come (even
-    seeds), ends of invokers that few controllers are told of (odd ones)."""
+    """A course drawn at where one word decides, by the seed: ends of invokers that few controllers are told of (odd
+    ones), a side that hears of no renewal (multiples of four), voters that hardly hear each other (the other even
+    ones), while zones go and come."""
     chance = random.Random(f"guided {seed}")
     course = Course(seed=seed, build=build)
     zone = f"z{chance.randrange(course.zones)}"
@@ -294,6 +295,10 @@
                          Fault("drained", FIRST + 1_500.0, 14_000.0, zone)]
         course.faults += [fault(chance.choice(["lossy", "slow", "renew"]), FIRST, 14_000.0, zone)
                           for _ in range(chance.randint(0, 1))]
+    elif seed % 4 == 0:
+        side = chance.choice([[0, 1], list(range(VOTERS, VOTERS + chance.randint(1, 4)))])
+        course.faults = [Fault("part", FIRST, 18_000.0, "", ",".join(f"c{n}" for n in side)),
+                         fault("invokers-lost", FIRST, 14_000.0, zone), fault("rising", FIRST, 14_000.0, zone)]
     else:
         course.faults = [fault(chance.choice(["part", "one-way", "hold", "kill"]), FIRST, 18_000.0, "",
                                chance.sample(range(VOTERS), chance.randint(1, 2))) for _ in range(chance.randint(2, 5))]
@@ -304,6 +309,21 @@
     return course
 
 
+def cut_off(course: Course) -> list[tuple[frozenset[str], float, float]]:
+    """Who reaches too few voters, and when, by parts that no other fault of links may have opened."""
+    links = [fault for fault in course.faults if fault.kind in ("part", "one-way", "lossy", "slow")]
+    every, voters, found = {f"c{n}" for n in range(course.controllers)}, {f"c{n}" for n in range(VOTERS)}, []
+    for fault in links:
+        until = fault.at + fault.lasts
+        if fault.kind != "part" or any(other is not fault and other.at < until and fault.at < other.at + other.lasts
+                                       for other in links):
+            continue
+        for side in (fault.names, every - fault.names):
+            if 2 * len(side & voters) <= VOTERS:
+                found.append((frozenset(side), fault.at, until))
+    return found
+
+
 def play(course: Course, build: Build | None = None, after: float = 50_000.0, every: float = 500.0) -> Found:
     """One course, to `after` ms beyond its last fault, judged by all that must hold."""
     world = HuntWorld(course, build or Build())
@@ -316,7 +336,8 @@
     fleet = world.verdict(fleet_seen.FleetBounds(30_000.0, 2_000.0, 8_000.0, 12_000.0))
     bounds = failover_seen.FailoverBounds(
         world.topology.regions, 3_000.0, min((fault.at for fault in course.faults), default=world.now),
-        world.last_fault, frozenset(world.members), 0.6, 3.0, 8_000.0, 0.03, 30, 30_000.0, 0.9, 45_000.0)
+        world.last_fault, frozenset(world.members), 0.6, 3.0, 8_000.0, 0.03, 30, 30_000.0, 0.9, 45_000.0,
+        cut_off(course))
     failover = failover_seen.check(world.views, world.reached, bounds, world.now)
     broken = [BrokenInvariant(f"{part} {one.which}", one.at, one.what) for part, verdict in (
         ("group", group.broken), ("fleet", fleet.broken), ("failover", failover.broken)) for one in verdict]
--- a/sprucespool/judge/failover.py
+++ b/sprucespool/judge/failover.py
@@ -9,7 +9,8 @@
 (d) what must stay in its region never leaves it;
 (e) no more than `changes` plans come into force within any minute;
 (f) after the last fault all follow one plan within `follow_within`, and near traffic is back to `near_again` within
-    `near_within`.
+    `near_within`;
+(g) who is cut off from most voters for longer than `unrenewed` follows no plan: it hears of no renewal.
 """
 from __future__ import annotations
 
@@ -62,6 +63,10 @@
     follow_within: float = 10_000.0
     near_again: float = 0.95
     near_within: float = 30_000.0
+    # Names that reach fewer than most voters, from when until when; what a plan lasts unrenewed, and how long word of
+    # the last renewal may go round among them.
+    cut_off: list[tuple[frozenset[str], float, float]] = field(default_factory=list)
+    unrenewed: float = 10_500.0
 
 
 @dataclass(slots=True)
@@ -92,10 +97,19 @@
                                                             f"{one.zone} to {one.to}"))
     _changes(seen, bounds, found)
     _settles(seen, firsts, bounds, end, found)
+    _unrenewed(seen, bounds, found)
     found.broken.sort(key=lambda one: one.at)
     return found
 
 
+def _unrenewed(seen: list[PlanView], bounds: FailoverBounds, found: FailoverVerdict):
+    for names, since, until in bounds.cut_off:
+        for view in seen:
+            if view.by in names and since + bounds.unrenewed < view.t < until and view.epoch != NONE:
+                found.broken.append(BrokenInvariant("g", view.t, f"{view.by} follows plan {view.epoch}, cut off from "
+                                                                 f"most voters for {view.t - since:.0f} ms"))
+
+
 def _one_plan(seen: list[PlanView], found: FailoverVerdict):
     plans: dict[tuple[int, int], str] = {}
     newest: dict[tuple[str, int], tuple[int, int]] = {}
--- a/sprucespool/lab/report.py
+++ b/sprucespool/lab/report.py
@@ -9,11 +9,12 @@
 
 from sprucespool.emulator.plans import CASES, PlanWorld
 from sprucespool.lab.compare import SURE, Compared, compared
-from sprucespool.lab.sweep import Job, Results, Row, SweepPlan
+from sprucespool.lab.sweep import Job, Results, Row, SweepPlan, jobs
 from sprucespool.settings import read
 
-# The figure that a chart shows, by kind; the picture's step, ms.
-SHOWN = {"failover": "service", "fleet": "settled_s", "group": "settled_s", "day": "service"}
+# Figures that a chart may show, by kind: the first in which its lines differ. The picture's step and span, ms.
+SHOWN = {"failover": ("service",), "fleet": ("late_forwards", "refused", "timed_out", "settled_s"),
+         "group": ("settled_s",), "day": ("service",)}
 STEP, SPAN = 3_000.0, 75_000.0
 
 
@@ -42,8 +43,9 @@
 def _chart(lines: list[Compared]) -> Any:
     """By size where there are several, else by decider."""
     import altair
-    data = altair.Data(values=[{"controllers": one.controllers, "decider": one.decider, "value": one.mean}
-                               for one in lines])
+    losses = len({one.loss for one in lines}) > 1
+    data = altair.Data(values=[{"controllers": one.controllers, "value": one.mean, "decider": one.decider + (
+        f", loss {one.loss:g}" if losses else "")} for one in lines])
     title = lines[0].figure
     if len({one.controllers for one in lines}) > 1:
         return _svg(altair.Chart(data, width=520, height=220).mark_line(point=True).encode(
@@ -67,26 +69,31 @@
             for (second, zone), (good, of) in sorted(found.items())]
 
 
-def _picture(jobs: list[Job]) -> _Picture:
+def _picture(plays: list[Job]) -> _Picture:
     import altair
-    rows = [row for job in jobs for row in over_time(job)]
+    rows = [row for job in plays for row in over_time(job)]
     chart = altair.Chart(altair.Data(values=rows), width=520, height=130).mark_rect().encode(
         x=altair.X("s:O", title="seconds", axis=altair.Axis(values=list(range(0, 76, 15)))),
         y=altair.Y("zone:N", title="zone of the clients"),
         color=altair.Color("service:Q", scale=altair.Scale(domain=[0, 1], scheme="redyellowgreen"))).facet(
-            row=altair.Row("decider:N", sort=[job.decider for job in jobs]))
-    one = jobs[0]
+            row=altair.Row("decider:N", sort=[job.decider for job in plays]))
+    one = plays[0]
     return _Picture(f"{one.case} over time, {one.controllers} controllers, {one.invokers} invokers, seed {one.seed}",
                     _svg(chart))
 
 
+def _shown(kind: str, lines: list[Compared]) -> list[Compared]:
+    by_figure = [[one for one in lines if one.figure == name] for name in SHOWN[kind]]
+    return next((some for some in by_figure if len({one.mean for one in some}) > 1), [])
+
+
 def _parts(rows: list[Row]) -> list[_Part]:
     found: dict[tuple[str, str], list[Compared]] = {}
     for one in compared(rows):
         found.setdefault((one.kind, one.case), []).append(one)
     parts = []
     for (kind, case), lines in found.items():
-        shown = [one for one in lines if one.figure == SHOWN[kind]]
+        shown = _shown(kind, lines)
         broken = sorted({f"{row.job.decider}, {row.job.controllers} controllers, seed {row.job.seed}: {row.broken[0]}"
                          for row in rows if row.broken and (row.job.kind, row.job.case) == (kind, case)})
         parts.append(_Part(f"{kind}: {case}", lines, _chart(shown) if shown else "", broken[:20]))
@@ -98,7 +105,8 @@
     import jinja2
     text = (folder / "plan.kdl").read_text(encoding="utf-8")
     plan = read(SweepPlan, text, str(folder / "plan.kdl"))
-    rows = Results(folder).rows()
+    order = {job: number for number, job in enumerate(jobs(plan))}
+    rows = sorted(Results(folder).rows(), key=lambda row: order.get(row.job, len(order)))
     pictures = []
     for one in plan.experiments:
         if one.kind == "failover":
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -42,10 +42,11 @@
 
 
 def test_guided_courses_find_what_blind_ones_miss_and_the_sound_build_bears_them():
-    """Ends that few controllers are told of; a leader by its own vote alone, while voters hardly hear each other."""
+    """Ends that few controllers are told of; a leader by its own vote alone; a plan that nobody renews."""
     assert "fleet c" in played(guided(1, "fleet-b")).which
     assert "failover a" in played(guided(2, "council-minority")).which
-    assert played(guided(1)).broken == [] == played(guided(2)).broken
+    assert "failover g" in played(guided(4, "council-endless")).which
+    assert all(played(guided(seed)).broken == [] for seed in (1, 2, 4))
     assert all(fault.at + fault.lasts <= 26_000.0 for seed in range(100) for fault in guided(seed).faults)
 
 
