--- a/sprucespool/standin/script.py
+++ b/sprucespool/standin/script.py
@@ -1,6 +1,8 @@
 """A day of trouble as its script tells it. No I/O."""
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from sprucespool.faults import CUTS
@@ -100,10 +102,30 @@
     start: Duration = 250.0
     fetch: Duration = 400.0
     payload: Bytes = 2000
+    # By day and night: the rate swings by this part of itself, once in `wave_period`.
+    wave: float = 0.0
+    wave_period: Duration = 20_000.0
+    # A match night: from `rush_at` for `rush_lasts` so many times the traffic, all more of it for the first model.
+    rush_at: Duration = 0.0
+    rush_lasts: Duration = 0.0
+    rush_factor: float = 1.0
+    # So often what is asked for most moves on to the next model; 0: never.
+    drift: Duration = 0.0
 
     def __post_init__(self):
         if self.rate <= 0 or self.models < 1 or self.lanes < 1:
             raise ValueError("expected a rate above 0 and models and lanes of at least 1")
+        if not 0 <= self.wave <= 1 or self.wave_period <= 0 or self.rush_factor < 1 or self.drift < 0:
+            raise ValueError("expected a wave from 0 to 1, a wave-period above 0, a rush-factor of at least 1 and a "
+                             "drift of 0 or more")
+
+    def rushes(self, at: float) -> bool:
+        return self.rush_factor > 1 and self.rush_at <= at < self.rush_at + self.rush_lasts
+
+    def rate_at(self, at: float) -> float:
+        """Inferences a second at that time, less what troubles make of it."""
+        swung = self.rate * (1 + self.wave * math.sin(2 * math.pi * at / self.wave_period)) if self.wave else self.rate
+        return swung * self.rush_factor if self.rushes(at) else swung
 
 
 class ClientHabits(msgspec.Struct):
--- a/sprucespool/standin/traffic.py
+++ b/sprucespool/standin/traffic.py
@@ -54,6 +54,8 @@
     """Poisson, thinned from the highest rate of the day so that a burst changes no other draw."""
     bursts = [trouble.factor for trouble in day.troubles if trouble.kind == "burst"]
     most = traffic.rate * max([1.0, *bursts])
+    if traffic.wave or traffic.rush_factor > 1:
+        most *= (1 + traffic.wave) * traffic.rush_factor
     at = 0.0
     while True:
         at += chance.expovariate(most / 1000.0)
@@ -61,7 +63,7 @@
             return
         burst = _active(day.troubles, "burst", at)
         keep = chance.random()
-        if keep * most <= traffic.rate * (burst.factor if burst else 1.0):
+        if keep * most <= traffic.rate_at(at) * (burst.factor if burst else 1.0):
             yield at
 
 
@@ -75,8 +77,13 @@
         once = 0
         for count, at in enumerate(_arrivals(day, traffic, chance)):
             rank = bisect.bisect(weights, chance.random() * weights[-1])
-            model = f"{traffic.group}-{min(rank, traffic.models - 1)}"
+            rank = min(rank, traffic.models - 1)
             draw, other = chance.random(), chance.random()
+            if traffic.rushes(at) and draw * traffic.rush_factor < traffic.rush_factor - 1:
+                rank = 0
+            if traffic.drift:
+                rank = (rank + int(at // traffic.drift)) % traffic.models
+            model = f"{traffic.group}-{rank}"
             hot, scan = _active(day.troubles, "hot-key", at), _active(day.troubles, "scan", at)
             if hot and draw < hot.share:
                 model = f"{traffic.group}-hot-{day.troubles.index(hot)}"
--- a/tests/test_lab_days.py
+++ b/tests/test_lab_days.py
@@ -23,10 +23,11 @@
 from sprucespool.lab.saving import SavedError
 from sprucespool.lab.sweep import Experiment, Job, Results, ResultsError, Row, SweepPlan
 from sprucespool.policy import Controller
-from sprucespool.settings import read
+from sprucespool.settings import Refused, read
 from sprucespool.standin.badlinks import BadLinks
 from sprucespool.standin.baselines import DECIDERS, GATEWAYS
 from sprucespool.standin.script import Day
+from sprucespool.standin.traffic import inferences
 
 ROOT = Path(__file__).parent.parent
 
@@ -147,6 +148,33 @@
     assert watch.all_over(50.0) == [seen.BadLink(10.0, 0, "i1", 50.0)] and watch.all_over(60.0) == []
 
 
+def asked(text, group="line"):
+    """Times and models of a group's inferences on a long day with that traffic alone."""
+    told = HEAD.replace('lasts "7s"', 'lasts "60s"').replace('traffic "bill" rate=15.0 models=3 work="40ms"\n', "")
+    day = read(Day, told.replace("models=8", f"models=8 {text}") + 'name "shape"\nfleet\n', "day")
+    return [(plan.at, int(plan.model.rpartition("-")[2])) for plan in inferences(day) if plan.group == group]
+
+
+def test_traffic_swings_rushes_and_drifts_as_the_script_says():
+    plain = asked("")
+    assert asked("wave=0.0 rush-factor=1.0") == plain and abs(len(plain) - 3_000) < 250
+    swung = [at for at, _ in asked('wave=0.8 wave-period="60s"')]
+    # The mean of the wave over its upper half is 2 / pi.
+    assert sum(at < 30_000 for at in swung) == pytest.approx(1_500 * (1 + 0.8 * 0.637), rel=0.08)
+    assert sum(at >= 30_000 for at in swung) == pytest.approx(1_500 * (1 - 0.8 * 0.637), rel=0.12)
+    night = asked('rush-at="20s" rush-lasts="10s" rush-factor=4.0')
+    rush = [model for at, model in night if 20_000 <= at < 30_000]
+    assert len(rush) == pytest.approx(2_000, rel=0.08) and len(night) - len(rush) == pytest.approx(2_500, rel=0.08)
+    first = sum(model == 0 for _, model in plain) / len(plain)
+    assert rush.count(0) / len(rush) == pytest.approx(0.75 + 0.25 * first, abs=0.04)
+    moved = asked('drift="10s"')
+    for n in range(6):
+        span = [model for at, model in moved if 10_000 * n <= at < 10_000 * (n + 1)]
+        assert max(set(span), key=span.count) == n
+    with pytest.raises(Refused, match="expected a wave from 0 to 1"):
+        asked("wave=1.5")
+
+
 # Sweeps
 
 PLAN = SweepPlan("small", [Experiment("group", "deaths", controllers="6,9"),
