--- a/sprucespool/lab/world.py
+++ b/sprucespool/lab/world.py
@@ -638,12 +638,13 @@
         due = worker.next_due()
         if due < process.looked_for and process.up and not worker.fallen:
             process.looked_for = due
-            self._later(max(0.0, due - self.now), partial(self._look_at, process))
+            self._later(max(0.0, due - self.now), partial(self._look_at, process, due))
         if worker.draining and worker.idle and not process.held and process.up:
             self.down(process.box)
 
-    def _look_at(self, process: _Process):
-        if process.up:
+    def _look_at(self, process: _Process, due: float):
+        # An earlier look has been there since, and set another one.
+        if process.up and process.looked_for == due:
             process.looked_for = math.inf
             process.worker.look(self.now)
             self._after(process)
