--- a/tests/test_failover_sockets.py
+++ b/tests/test_failover_sockets.py
@@ -76,8 +76,8 @@
 def play(folder, name):
     broken = name in BROKEN
     # Until near traffic had all the time it may take: `rising` is over at 13 s and its zones are warm again late.
-    lasts = 20 if name == "failover-b" else 14 if broken else {"rising": 44, "voters-lost": 54, "drained": 40, "dark": 52}.get(
-        name, 34)
+    longer = {"rising": 44, "voters-lost": 54, "drained": 40, "dark": 52}
+    lasts = 20 if name == "failover-b" else 14 if broken else longer.get(name, 34)
     path = folder / f"{name}.kdl"
     tight = 'follow-within="5s" changes=6 cap-slack=0.0 slack-cores=0.3 over-for="2s"'
     head = HEAD
