--- a/sprucespool/daemon/group.py
+++ b/sprucespool/daemon/group.py
@@ -136,8 +136,7 @@
             self._send(say)
         for event in group.take_events():
             self._event(event)
-        part = group.part()
-        sharing = max(1, len(group.live())), 1.0 / part if part > 0 else math.inf
+        sharing = group.sharing()
         if sharing != self.sharing:
             self.sharing = sharing
             self.tell(ms.Sharing(*sharing))
--- a/sprucespool/emulator/fleet.py
+++ b/sprucespool/emulator/fleet.py
@@ -39,6 +39,11 @@
     tells: bool = True
 
 
+def status_of(row: Told) -> str:
+    """As a roster tells it."""
+    return "gone" if row.gone else STATUS[row.listed]
+
+
 @dataclass(slots=True)
 class Figures:
     """What forwards met, by what the invoker was at the time."""
@@ -243,7 +248,7 @@
         if one.name in self.still:
             return self._later(50.0, lambda: self._tell(one, whole, version, rows, source))
         for row in rows:
-            status = "gone" if row.gone else STATUS[row.listed]
+            status = status_of(row)
             self.noted.append(seen.WasTold(self.now, one.name, *row.process, status))
             if status != "in service":
                 self.told.setdefault(row.process, self.now)
--- a/sprucespool/emulator/hunt.py
+++ b/sprucespool/emulator/hunt.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -365,9 +365,3 @@
                 break
             best = tried
     return best
-
-
-def hunt(seeds: range, again: Callable[[Course], Found], build: str = "sound", most: int = 5) -> Iterator[Found]:
-    """Courses one after the other; whoever asks stops at the first that is broken, or goes on."""
-    for seed in seeds:
-        yield again(drawn(seed, most, build))
--- a/sprucespool/lab/world.py
+++ b/sprucespool/lab/world.py
@@ -17,7 +17,7 @@
 
 from sprucespool import interface as it
 from sprucespool.emulator import worker as wk
-from sprucespool.emulator.fleet import Box
+from sprucespool.emulator.fleet import Box, status_of
 from sprucespool.emulator.library import Fetch, Library, LibraryFacts
 from sprucespool.emulator.plans import Habits, PlanWorld
 from sprucespool.faults import LinkState
@@ -33,7 +33,7 @@
 from sprucespool.standin.clients import LISTEN_ON
 from sprucespool.standin.badlinks import BadLinks, parted
 from sprucespool.standin.invoker import Fault
-from sprucespool.standin.schedule import Schedule, Slot, Step, schedule
+from sprucespool.standin.schedule import Schedule, Slot, Step, schedule, worker_facts
 from sprucespool.standin.script import Day
 from sprucespool.standin.traffic import Plan, catalog, drawn, inferences
 from sprucespool.wire import outcomes
@@ -226,8 +226,7 @@
         desk = self.desks.get(one)
         if desk is None:
             return
-        part = one.part()
-        sharing = max(1, len(one.live())), 1.0 / part if part > 0 else math.inf
+        sharing = one.sharing()
         if sharing != desk.sharing:
             desk.sharing = sharing
             self._give(one, ms.Sharing(*sharing))
@@ -292,17 +291,15 @@
             return self._later(50.0, lambda: self._tell(one, whole, version, rows, source))
         number = one.about.number
         for row in rows:
-            status = "gone" if row.gone else ("draining" if row.listed.name == "DRAINING" else "in service")
-            self.note(seen.Told(self.now, number, *row.process, status))
+            self.note(seen.Told(self.now, number, *row.process, status_of(row)))
         if whole:
             for address in sorted(desk.ever - {row.process[0] for row in rows}):
                 self.note(seen.Told(self.now, number, address, "", "gone"))
         desk.ever |= {row.process[0] for row in rows}
         if self.views_kept:
             return super()._tell(one, whole, version, rows, source)
-        told = [ms.Row(row.process[0], row.zone, row.kind, row.cell,
-                       "gone" if row.gone else ("draining" if row.listed.name == "DRAINING" else "in service"),
-                       row.size, row.process[1], row.age) for row in rows]
+        told = [ms.Row(row.process[0], row.zone, row.kind, row.cell, status_of(row), row.size, row.process[1], row.age)
+                for row in rows]
         self._give(one, ms.Roster((it.News.REPLACE if whole else it.News.UPDATE).value, version, told))
 
     def _break(self, one: Group):
@@ -566,14 +563,9 @@
     # Invokers
 
     def _stand(self, slot: Slot, box: Box, cold: bool) -> _Process:
-        day, machines, habits = self.day, slot.machines, self.day.invokers
-        fleet = day.fleet
-        facts = wk.WorkerFacts(
-            machines.memory / 1e6, machines.cores, machines.speed, habits.queue, habits.loads, habits.load_queue,
-            fleet.keep_alive, fleet.cold_share, fleet.warm_after, fleet.fall_multiple, fleet.fall_window,
-            fleet.loads_on_miss, habits.scales, habits.cancel_drops,
-            max([group.dedup_window for group in day.model_groups] + [1000.0]))
-        process = _Process(slot, box, box.boot, wk.Worker(facts, self.catalog, self.now, cold=cold))
+        machines = slot.machines
+        worker = wk.Worker(worker_facts(self.day, machines), self.catalog, self.now, cold=cold)
+        process = _Process(slot, box, box.boot, worker)
         self.processes[box.address] = self.standing[slot.number] = process
         self.note(seen.Booted(self.now, box.address, box.boot, machines.cores, machines.speed, cold, slot.zone,
                               slot.cell, box.name))
--- a/sprucespool/membership/group.py
+++ b/sprucespool/membership/group.py
@@ -150,6 +150,11 @@
         alike = 1 + sum(row.about.number == self.about.number for row in rows)
         return self.shares.part(self.now, max((row.about.of for row in rows), default=0), alike)
 
+    def sharing(self) -> tuple[int, float]:
+        """Controllers that are there, and by how many this one is to divide what all share; infinite: nothing of it."""
+        part = self.part()
+        return max(1, len(self.live())), 1.0 / part if part > 0 else math.inf
+
     def take_events(self) -> list[Event]:
         events, self.book.events = self.book.events, []
         return events
--- a/sprucespool/standin/schedule.py
+++ b/sprucespool/standin/schedule.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass, field
 
+from sprucespool.emulator.worker import WorkerFacts
 from sprucespool.faults import WELL, LinkState
 from sprucespool.standin.invoker import Fault
 from sprucespool.standin.script import AT_LINKS, Day, Machines, Trouble
@@ -20,6 +21,16 @@
     cell: str
 
 
+def worker_facts(day: Day, machines: Machines) -> WorkerFacts:
+    """What an invoker of that kind is made of on the day."""
+    fleet, habits = day.fleet, day.invokers
+    return WorkerFacts(
+        machines.memory / 1e6, machines.cores, machines.speed, habits.queue, habits.loads, habits.load_queue,
+        fleet.keep_alive, fleet.cold_share, fleet.warm_after, fleet.fall_multiple, fleet.fall_window,
+        fleet.loads_on_miss, habits.scales, habits.cancel_drops,
+        max([group.dedup_window for group in day.model_groups] + [1000.0]))
+
+
 @dataclass(slots=True)
 class Step:
     """At `at` ms after the day's begin the stage does `what` to the slot or controller `target`."""
--- a/sprucespool/standin/stage.py
+++ b/sprucespool/standin/stage.py
@@ -15,7 +15,6 @@
 import msgspec
 
 from sprucespool.emulator.library import LibraryFacts
-from sprucespool.emulator.worker import WorkerFacts
 from sprucespool.grpc.status import Limits
 from sprucespool.faults import LinkState
 from sprucespool.judge import BrokenRule, RuleFacts, Table, judge, score, seen
@@ -45,7 +44,7 @@
 from sprucespool.standin.links import Relays
 from sprucespool.standin.platform import DRAINING, GONE, LibraryService, Listed, Roster
 from sprucespool.standin.processes import Process, StageFailed
-from sprucespool.standin.schedule import Schedule, Slot, Step, schedule
+from sprucespool.standin.schedule import Schedule, Slot, Step, schedule, worker_facts
 from sprucespool.standin.script import Day
 from sprucespool.standin.starving import Starving
 from sprucespool.standin.trace import Notes, now_ms
@@ -170,12 +169,7 @@
     async def _start_invoker(self, slot: Slot, listen: str, cold: bool) -> _Standing:
         self.boots += 1
         boot, day = f"{slot.number}-{self.boots}", self.day
-        fleet, habits = day.fleet, day.invokers
-        facts = WorkerFacts(
-            slot.machines.memory / 1e6, slot.machines.cores, slot.machines.speed, habits.queue, habits.loads,
-            habits.load_queue, fleet.keep_alive, fleet.cold_share, fleet.warm_after, fleet.fall_multiple,
-            fleet.fall_window, fleet.loads_on_miss, habits.scales, habits.cancel_drops,
-            max([group.dedup_window for group in day.model_groups] + [1000.0]))
+        habits, facts = day.invokers, worker_facts(day, slot.machines)
         notes = self.folder / f"invoker-{boot}.jsonl"
         relay, old = None, self.standing.get(slot.number)
         if self.relays is not None:
