How long a client waits and when it tries again is told once, for sockets and virtual time

The lab's clients had the stage's rule written again beside it, though its page says that both are one.

--- a/sprucespool/lab/world.py
+++ b/sprucespool/lab/world.py
@@ -35,7 +35,7 @@
 from sprucespool.standin.invoker import Fault
 from sprucespool.standin.schedule import Schedule, Slot, Step, schedule, worker_facts
 from sprucespool.standin.script import Day
-from sprucespool.standin.traffic import Plan, catalog, drawn, inferences
+from sprucespool.standin.traffic import LEAST_WAIT, Plan, catalog, drawn, inferences, patience, repeated
 from sprucespool.wire import outcomes
 
 # One way between two processes of a machine, ms; what a piece that is lost costs until it is sent again.
@@ -323,11 +323,9 @@
     def _send_try(self, plan: Plan, nth: int, begun: float, avoid: int):
         group = self.model_groups[plan.group]
         begun = begun or self.now
-        ttl = plan.ttl_part * group.route_timeout if nth == 0 else begun + group.route_timeout - self.now
-        if ttl < 20.0:
+        ttl = patience(plan, group, nth, begun, self.now)
+        if ttl < LEAST_WAIT:
             return
-        if nth:
-            ttl = min(ttl, plan.ttl_part * group.route_timeout)
         which = next(self.turn) % self.controllers
         if which == avoid:
             which = (which + 1) % self.controllers
@@ -372,8 +370,7 @@
             return
         tried.over = True
         self.note(seen.Unreached(self.now, tried.id, sent))
-        group = self.model_groups[tried.plan.group]
-        self._repeat(tried, not sent or group.effect == "retriable", self.day.clients.wait)
+        self._repeat(tried, None, not sent, self.day.clients.wait)
 
     def _answer(self, one: Group, call: str, status: Status, message: str = "", pushback: float | None = None):
         tried = self.desks[one].tries.pop(call, None)
@@ -385,15 +382,13 @@
             return
         tried.over = True
         self.note(seen.Answer(self.now, tried.id, int(status), message, pushback))
-        wait, again = self.day.clients.wait, False
+        wait = self.day.clients.wait
         if status is Status.RESOURCE_EXHAUSTED:
-            again, wait = True, max(wait, pushback or 0.0)
-        elif status is not Status.OK:
-            again = self.model_groups[tried.plan.group].effect == "retriable"
-        self._repeat(tried, again, wait)
+            wait = max(wait, pushback or 0.0)
+        self._repeat(tried, status, False, wait)
 
-    def _repeat(self, tried: _Try, again: bool, wait: float):
-        if again and tried.nth < self.day.clients.retries and tried.plan.leaves_part is None:
+    def _repeat(self, tried: _Try, status: Status | None, never_ran: bool, wait: float):
+        if repeated(tried.plan, self.model_groups[tried.plan.group], self.day.clients, tried.nth, status, never_ran):
             self._later(wait * self.client_chance.uniform(0.8, 1.2), partial(
                 self._send_try, tried.plan, tried.nth + 1, tried.begun, tried.which))
 
--- a/sprucespool/standin/clients.py
+++ b/sprucespool/standin/clients.py
@@ -16,7 +16,7 @@
 from sprucespool.settings.controller import Group, address
 from sprucespool.standin.script import Day
 from sprucespool.standin.trace import Notes, now_ms
-from sprucespool.standin.traffic import Plan, inferences
+from sprucespool.standin.traffic import LEAST_WAIT, Plan, inferences, patience, repeated
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.pool import ENDS, Broken, Heard, Pool, PoolCall, Unconnected
 from sprucespool.wire import inference_pb2 as oip
@@ -95,11 +95,9 @@
     def _send(self, plan: Plan, nth: int, begun: float, avoid: int):
         now, group = now_ms(), self.groups[plan.group]
         begun = begun or now
-        ttl = plan.ttl_part * group.route_timeout if nth == 0 else begun + group.route_timeout - now
-        if ttl < 20.0:
+        ttl = patience(plan, group, nth, begun, now)
+        if ttl < LEAST_WAIT:
             return
-        if nth:
-            ttl = min(ttl, plan.ttl_part * group.route_timeout)
         which = next(self.turn) % len(self.pools)
         if which == avoid:
             which = (which + 1) % len(self.pools)
@@ -138,21 +136,19 @@
         if not isinstance(event, ENDS) or one.over:
             return
         now, group = now_ms(), self.groups[one.plan.group]
-        again, wait = False, self.day.clients.wait
+        status, never, wait = None, False, self.day.clients.wait
         if isinstance(event, Answered):
             pushback = outcomes.whole(event.trailers, names.PUSHBACK)
             self.notes.write(seen.Answer(now, one.id, int(event.status), event.message, pushback))
-            if event.status is Status.RESOURCE_EXHAUSTED:
-                again, wait = True, max(wait, pushback or 0.0)
-            else:
-                again = event.status is not Status.OK and group.effect == "retriable"
+            status = event.status
+            if status is Status.RESOURCE_EXHAUSTED:
+                wait = max(wait, pushback or 0.0)
         else:
             # The stream or the connection went. Unconnected, or refused unseen: harmless to any group.
             never = isinstance(event, Unconnected) or isinstance(event, Reset) and event.never_ran
             self.notes.write(seen.Unreached(now, one.id, isinstance(event, (Broken, Reset)) and not never))
-            again = never or group.effect == "retriable"
         self._over(one)
-        if again and one.nth < self.day.clients.retries and one.plan.leaves_part is None:
+        if repeated(one.plan, group, self.day.clients, one.nth, status, never):
             spread = wait * self.chance.uniform(0.8, 1.2)
             self.open += 1
             self.loop.call_later(spread / 1000.0, self._again, one)
--- a/sprucespool/standin/traffic.py
+++ b/sprucespool/standin/traffic.py
@@ -8,9 +8,13 @@
 from dataclasses import dataclass
 
 from sprucespool.emulator.worker import ModelInfo
-from sprucespool.standin.script import Day, Traffic, Trouble
+from sprucespool.grpc.status import Status
+from sprucespool.settings.controller import Group
+from sprucespool.standin.script import ClientHabits, Day, Traffic, Trouble
 
 ONE_OFF = "once"
+# Nobody asks for what leaves less, ms.
+LEAST_WAIT = 20.0
 
 
 @dataclass(slots=True)
@@ -28,6 +32,20 @@
     payload: int
 
 
+def patience(plan: Plan, group: Group, nth: int, begun: float, now: float) -> float:
+    """What a client's try waits, ms: the first a part of the route timeout, a repeat no more than is left of it."""
+    wait = plan.ttl_part * group.route_timeout
+    return min(wait, begun + group.route_timeout - now) if nth else wait
+
+
+def repeated(plan: Plan, group: Group, clients: ClientHabits, nth: int, status: int | None, never_ran: bool) -> bool:
+    """Whether a client tries again: what was shed or never ran, any group; else only what is retriable. `status`: of
+    the answer, None where there was none."""
+    if nth >= clients.retries or plan.leaves_part is not None or status == Status.OK:
+        return False
+    return status == Status.RESOURCE_EXHAUSTED or status is None and never_ran or group.effect == "retriable"
+
+
 def _around(chance: random.Random, mean: float, third: float = 1 / 3) -> float:
     return mean * chance.uniform(1 - third, 1 + third)
 
