Zones are judged by who stands there now: near traffic is back in half the time

Cause: trust of a zone fell by members' words about invokers that were gone when it came back, and by a few forwards behind cold loads; steps home waited for a bucket of changes that urgent ones had emptied.

--- a/sprucespool/daemon/failover.py
+++ b/sprucespool/daemon/failover.py
@@ -158,6 +158,8 @@
             self.states_at = now + (STATES_EVERY if plans else 2 * STATES_EVERY)
             states = self.states()
             self.steer.serves = frozenset(zone for zone, state in states.items() if state.now > 0) or None
+            if not states[self.zone].warm:
+                self.meter.emptied()
             self.failover.know(now, states)
             self.failover.know_members(self._speakers())
         self._do(self.failover.tick(now))
@@ -206,13 +208,13 @@
             Standing(place.zone, place.size, None if place.born is None else now - place.born,
                      bool(fleet.doubted.get(place.address)), place.cell)
             for place in fleet.told.values() if place.status == it.Status.IN_SERVICE.value]
-        loaded = [Loaded(self.zone, *self.meter.figures(now))]
+        loaded = [Loaded(self.zone, *self.meter.figures(now), at=now)]
         size = len(self.group.figures)
         for row in self.others() if member is not None else ():
-            told = self.reports.of(now, row.name, row.figures[len(FIGURES):] if len(row.figures) == size else ())
+            told, at = self.reports.of(now, row.name, row.figures[len(FIGURES):] if len(row.figures) == size else ())
             if len(told) == len(MORE_FIGURES):
                 free, bound, did, well, soon = told
-                loaded.append(Loaded(row.about.zone, free, bound, did, well, soon, row.name))
+                loaded.append(Loaded(row.about.zone, free, bound, did, well, soon, row.name, at))
         return self.gauge.states(now, standing, loaded, self.failover.council.in_force(now))
 
     def _do(self, effects: Iterable[Any]):
--- a/sprucespool/emulator/plans.py
+++ b/sprucespool/emulator/plans.py
@@ -210,13 +210,13 @@
         standing = [Standing(place.zone, place.size * self.habits.cores,
                              None if place.born is None else now - place.born, place.address in fleet.doubted)
                     for place in fleet.told.values() if place.status == "in service"]
-        loaded = [Loaded(one.about.zone, *self.parts[one].meter.figures(now))]
+        loaded = [Loaded(one.about.zone, *self.parts[one].meter.figures(now), at=now)]
         part = self.parts[one]
         for row in one.live():
-            told = part.reports.of(now, row.name, row.figures)
+            told, at = part.reports.of(now, row.name, row.figures)
             if row.seat != one.me.seat and len(told) == 5:
                 free, bound, did, well, soon = told
-                loaded.append(Loaded(row.about.zone, free, bound, did, well, soon, row.name))
+                loaded.append(Loaded(row.about.zone, free, bound, did, well, soon, row.name, at))
         plan = part.plan if self.decider == "alone" else part.failover.council.in_force(now)
         return part.gauge.states(now, standing, loaded, plan)
 
@@ -232,6 +232,8 @@
             # Who only follows needs them for its own safety alone: looked at now and then.
             states = self.states(one)
             part.steer.serves = frozenset(zone for zone, state in states.items() if state.now > 0) or None
+            if not states[one.about.zone].warm:
+                part.meter.emptied()
             part.failover.know(now, states)
             part.failover.know_members({row.name: row.about.zone for row in one.live()})
             if self.decider == "alone":
--- a/sprucespool/failover/gauge.py
+++ b/sprucespool/failover/gauge.py
@@ -29,7 +29,8 @@
 @dataclass(frozen=True, slots=True)
 class Loaded:
     """A controller's word: cores asked by what enters at it, cores that its own zone did for it, the parts of what it
-    sent there that came back, and that came in SLO time (-1: not known)."""
+    sent there that came back, and that came in SLO time (-1: not known). `at`: when it said so, None where that is not
+    known."""
     zone: str
     free: float
     bound: float
@@ -37,6 +38,7 @@
     well: float = -1.0
     soon: float = -1.0
     name: str = ""
+    at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,9 +84,10 @@
         if name in self.direct or len(self.direct) < self.most:
             self.direct[name] = figures, now
 
-    def of(self, now: float, name: str, row: tuple[float, ...]) -> tuple[float, ...]:
-        figures, at = self.direct.get(name, (row, now))
-        return figures if now - at < self.fresh else row
+    def of(self, now: float, name: str, row: tuple[float, ...]) -> tuple[tuple[float, ...], float | None]:
+        """The figures, and when they were said: None where it was by the row."""
+        figures, at = self.direct.get(name, (row, -math.inf))
+        return (figures, at) if now - at < self.fresh else (row, None)
 
     def keep(self, names: Iterable[str]) -> None:
         """Forget all others."""
@@ -108,6 +111,8 @@
     # By zone: cores that each of its cells can take now, as far as the roster tells cells. For operators: a lost cell
     # is a zone with less to take, and traffic enters at zones.
     cells: dict[str, dict[str, float]] = field(default_factory=dict)
+    # By zone: when nothing stood there last.
+    empty: dict[str, float] = field(default_factory=dict)
     # By member: zone, cores asked, when that was told last.
     last: dict[str, tuple[str, float, float]] = field(default_factory=dict)
 
@@ -128,6 +133,13 @@
                 takes[one.zone] += can
                 if one.cell:
                     self.cells[one.zone][one.cell] += can
+        for zone in zones:
+            if not warm[zone]:
+                # Whoever comes there is another, of whom nothing is known: believed, until it falls as well.
+                self.empty[zone] = now
+                if self.trust.pop(zone, 1.0) < 1.0:
+                    self.changed[zone] = now
+                    self.regained.add(zone)
         free, bound = dict.fromkeys(zones, 0.0), dict.fromkeys(zones, 0.0)
         did = dict.fromkeys(zones, 0.0)
         said: dict[str, list[tuple[float, float]]] = {zone: [] for zone in zones}
@@ -147,7 +159,7 @@
             free[told.zone] += part * max(0.0, told.free)
             bound[told.zone] += part * max(0.0, told.bound)
             did[told.zone] += max(0.0, told.did)
-            if told.well >= 0.0:
+            if told.well >= 0.0 and self._since(now, told):
                 said[told.zone].append((min(1.0, told.well), told.soon if told.soon >= 0.0 else told.well))
         for name, (zone, cores, at) in list(self.last.items()):
             if now - at > limits.remember:
@@ -169,6 +181,12 @@
                 self._weigh(now, zone, heard[len(heard) // 2], soon[len(soon) // 2], min(1.0, does / takes[zone]))
         return {zone: replace(state, trust=round(self.trust.get(zone, 1.0), 2)) for zone, state in states.items()}
 
+    def _since(self, now: float, told: Loaded) -> bool:
+        """Whether it speaks of who stands there now. Seen: a zone that was lost came back, and for 16 s got a
+        twenty-fifth of its traffic by what members had said of the ones before."""
+        empty = self.empty.get(told.zone, -math.inf)
+        return told.at > empty if told.at is not None else now - empty > self.limits.remember
+
     def _even(self, now: float, free: Mapping[str, float], bound: Mapping[str, float]):
         since = math.inf if math.isnan(self.asked_at) else max(0.0, now - self.asked_at)
         for zone in free:
--- a/sprucespool/failover/meter.py
+++ b/sprucespool/failover/meter.py
@@ -21,6 +21,9 @@
     # How home does is judged by so many of its last ends, of so long at the most.
     ends: int = 24
     ends_for: float = 6_000.0
+    # Fewer ends than that speak for home, never against it: seen, two forwards behind cold loads took a zone's trust
+    # for half a minute.
+    least_ends: int = 6
     # Worth telling at once: moved by this part, and by so many times what chance makes of it; no more often than that.
     moved: float = 0.15
     chance: float = 2.5
@@ -31,8 +34,9 @@
     runs: dict[str, float] = field(default_factory=dict)
     seen: dict[str, int] = field(default_factory=dict)
     _came: deque[tuple[float, bool, str]] = field(default_factory=deque)
-    # When a forward home ended, whether in SLO time, whether it came back at all, the work it did (ms of a core).
-    _ends: deque[tuple[float, bool, bool, float]] = field(default_factory=deque)
+    # When a forward home ended, whether in SLO time, whether it came back at all, the work it did (ms of a core),
+    # whether it met a load.
+    _ends: deque[tuple[float, bool, bool, float, bool]] = field(default_factory=deque)
     _told: tuple[float, float, float, float, float] = (0.0, 0.0, 0.0, -1.0, -1.0)
     _told_at: float = -math.inf
 
@@ -46,7 +50,8 @@
         """A forward ended in that zone, well or not."""
         if zone != self.zone:
             return
-        self._ends.append((now, returned and elapsed <= slo, returned, self.runs.get(group, 0.0) if returned else 0.0))
+        self._ends.append((now, returned and elapsed <= slo, returned, self.runs.get(group, 0.0) if returned else 0.0,
+                           returned and not warm))
         self._forget(now)
         if returned and warm and group in self.runs and (elapsed <= self.runs[group] or self._calm()):
             usual, self.seen[group] = self.runs[group], self.seen.get(group, 0) + 1
@@ -58,7 +63,7 @@
     def _calm(self) -> bool:
         """Against work that seems to grow while queues do: the more were shed for it, the more would seem to be asked.
         Only where nearly all comes back in time do longer answers mean longer work."""
-        return sum(soon for _, soon, *_ in self._ends) >= self.calm * len(self._ends)
+        return sum(one[1] for one in self._ends) >= self.calm * len(self._ends)
 
     def _forget(self, now: float):
         while self._came and self._came[0][0] < now - self.window:
@@ -69,18 +74,32 @@
 
     def figures(self, now: float) -> tuple[float, float, float, float, float]:
         """(free, bound, did, well, soon): cores that arriving inferences ask, cores that home did for this controller,
-        the part of forwards home that came back, and that came in SLO time; -1 where none ended. Late ones are no sign
-        of ill invokers: cold models and queues make them as well."""
+        the part of forwards home that came back, and that came in SLO time; -1 where that is not known. Late ones are
+        no sign of ill invokers: cold models and queues make them as well."""
         self._forget(now)
         asked = [0.0, 0.0]
         for _, bound, group in self._came:
             asked[bound] += self.runs[group]
-        did = sum(work for at, *_, work in self._ends if at >= now - self.window) / self.window
-        newest = [(back, soon) for _, soon, back, _ in self._ends][-self.ends:]
-        well, soon = (sum(ones) / len(ones) for ones in zip(*newest, strict=True)) if newest else (-1.0, -1.0)
+        did = sum(work for at, _, _, work, _ in self._ends if at >= now - self.window) / self.window
+        well, soon = self._home()
         return (round(asked[0] / self.window, 2), round(asked[1] / self.window, 2), round(did, 2), round(well, 2),
                 round(soon, 2))
 
+    def _home(self) -> tuple[float, float]:
+        newest = list(self._ends)[-self.ends:]
+        back = sum(one[2] for one in newest)
+        loading = sum(one[4] for one in newest)
+        # While most of what comes back met a load, what does not come back waited for one: nothing is known of health.
+        if not newest or back < len(newest) and (len(newest) < self.least_ends or 2 * loading >= back > 0):
+            return -1.0, -1.0
+        # A load is late whatever the invokers' health, and a zone that gets a trickle is cold for each model of it.
+        judged = [one[1] for one in newest if one[1] or not one[4]]
+        return back / len(newest), sum(judged) / len(judged) if judged else -1.0
+
+    def emptied(self) -> None:
+        """Nothing stands at home: what was seen there says nothing of who will."""
+        self._ends.clear()
+
     def news(self, now: float) -> tuple[float, float, float, float, float] | None:
         """The figures, where those who plan ought to hear of them at once: the group's own news may take a minute among
         hundreds. What chance makes of a few arrivals is no news."""
--- a/sprucespool/failover/planner.py
+++ b/sprucespool/failover/planner.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
@@ -42,9 +43,9 @@
     back_every: float = 3_000.0
     settle: float = 3_000.0
     # Changes in a bucket that fills one each `refill`; so many are kept for what is urgent.
-    bucket: int = 12
-    refill: float = 5_000.0
-    kept: int = 4
+    bucket: int = 8
+    refill: float = 3_750.0
+    kept: int = 2
 
 
 @dataclass(slots=True, eq=False)
@@ -52,7 +53,7 @@
     """Call `next` with the states and the time; gives a plan to be decided, or None to leave things as they are."""
     topology: Topology
     limits: PlannerLimits = field(default_factory=PlannerLimits)
-    tokens: float = 12.0
+    tokens: float = math.inf
     filled_at: float = 0.0
     changed_at: float = -1e18
     changes: int = 0
--- a/tests/test_failover_sockets.py
+++ b/tests/test_failover_sockets.py
@@ -105,12 +105,8 @@
 def test_a_hard_case_over_sockets_keeps_rules_and_invariants_and_all_follow_one_plan_again(days, name):
     found, failover = days[name], days[name]["failover"]
     assert found["unclean"] == [] and found["broken"] == [] and found["invariants_broken"] == []
-    # What load above all cores leaves behind, open: in virtual time near traffic comes back after 22 s, or 31, or not
-    # within the day, as the seed has it (docs/design/failover.md); so it is not held here.
-    late = "(f) near traffic was" if name == "rising" else "nothing"
-    assert [one for one in failover["invariants_broken"] if not one.startswith(late)] == []
+    assert failover["invariants_broken"] == [] and failover["near_ms"] is not None
     assert found["fleet"]["invariants_broken"] == [] and failover["settled_ms"] is not None and failover["views"] > 200
-    assert failover["near_ms"] is not None or name == "rising"
     assert failover["calm_crossed"] < 0.01 and found["service"] > (0.05 if name == "rising" else 0.6)
 
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -203,12 +203,43 @@
     assert after(81_500.0, 61_000.0, good)[1] == 1.0 and "a1" not in gauge.steps, "and it is forgiven in the end"
 
 
+def test_what_waits_behind_loads_or_is_told_by_two_ends_says_nothing_of_health():
+    """Seen: at a day's begin two forwards behind cold loads took a zone's trust, and its cap, for half a minute."""
+    def home(*ends):
+        meter = Meter("a1", runs={"g": 100.0})
+        for n, (returned, warm, elapsed) in enumerate(ends):
+            meter.ended(100.0 * n, "g", "a1", elapsed, returned, warm, 600.0)
+        return meter.figures(2_000.0)[3:]
+    gone, cold, late, good = (False, True, 2_000.0), (True, False, 1_500.0), (True, True, 900.0), (True, True, 90.0)
+    assert home(gone, gone) == (-1.0, -1.0) and home(*[gone] * 6) == (0.0, 0.0), "few do not condemn, more do"
+    assert home(*[gone] * 6, cold, good) == (-1.0, -1.0) and home(*[gone] * 6, good, good)[0] == 0.25
+    assert home(good) == (1.0, 1.0) and home(cold, good, late) == (1.0, 0.5), "a load is late whatever the health"
+    assert home(cold) == (1.0, -1.0), "few speak for home"
+
+
+def test_a_zone_that_was_empty_is_judged_by_who_stands_there_now():
+    """Seen: it came back and got a twenty-fifth of its traffic for 16 s, by what was said of the ones before."""
+    gauge, ill = Gauge(SIX), [Loaded("a1", 1.0, 0.0, 0.1, 0.1, 0.0, at=0.0) for _ in range(4)]
+    assert states_of(gauge, 0.0, ill)["a1"].trust == 0.04
+    empty = gauge.states(5_000.0, [Standing("b1", 2.0)], ill)
+    assert empty["a1"].now == 0.0 and states_of(gauge, 6_000.0, ill)["a1"].trust == 1.0
+    rows = [replace(one, at=None) for one in ill]
+    assert states_of(gauge, 7_000.0, rows)["a1"].trust == 1.0, "nor by rows, which may be as old"
+    assert states_of(gauge, 8_000.0, [replace(one, at=7_500.0) for one in ill])["a1"].trust == 0.04
+    assert gauge.steps["a1"] == 2 * gauge.limits.regain_every, "another fall is a relapse"
+    meter = Meter("a1", runs={"g": 100.0})
+    for n in range(8):
+        meter.ended(n, "g", "a1", 2_000.0, False, True, 600.0)
+    meter.emptied()
+    assert meter.figures(10.0)[3:] == (-1.0, -1.0)
+
+
 def test_what_a_member_told_directly_counts_for_a_while_and_then_its_row():
     """Seen at 300: rows of the group that were half a minute old hid what members had told directly."""
     reports = Reports(most=2)
-    assert reports.of(0.0, "c1", (1.0,)) == (1.0,)
+    assert reports.of(0.0, "c1", (1.0,)) == ((1.0,), None)
     reports.heard(0.0, "c1", (5.0,))
-    assert reports.of(11_000.0, "c1", (1.0,)) == (5.0,) and reports.of(13_000.0, "c1", (6.0,)) == (6.0,)
+    assert reports.of(11_000.0, "c1", (1.0,)) == ((5.0,), 0.0) and reports.of(13_000.0, "c1", (6.0,)) == ((6.0,), None)
     for name in ("c2", "c3"):
         reports.heard(0.0, name, (1.0,))
     reports.keep(["c1"])
