--- a/sprucespool/cli/main.py
+++ b/sprucespool/cli/main.py
@@ -19,6 +19,17 @@
                   help="The invoker front end of a function platform.")
 
 
+def _day(script: Path) -> Any:
+    """A day's script, with the traffic that it names."""
+    from sprucespool.standin.recorded import with_recorded
+    from sprucespool.standin.script import Day
+    told = _read(Day, script)
+    try:
+        return with_recorded(told, script.parent)
+    except ValueError as problem:
+        raise _refuse(f"{script}: {problem}") from None
+
+
 def _refuse(why: str) -> typer.Exit:
     print(why, file=sys.stderr)
     return typer.Exit(2)
@@ -159,9 +170,8 @@
     log_level: str = "warning",
 ) -> None:
     """Play a scripted day of trouble on loopback with stand-ins; status 1 if a rule was broken."""
-    from sprucespool.standin.script import Day
     from sprucespool.standin.stage import Options, StageFailed, play
-    told = _read(Day, script)
+    told = _day(script)
     _decider(decider)
     if seed is not None:
         told.seed = seed
@@ -341,8 +351,7 @@
     """Play a day's script in virtual time, on the objects that serve; status 1 if a rule or invariant was broken."""
     from sprucespool.cli.lab import run_day
     from sprucespool.emulator.group import StandsStill
-    from sprucespool.standin.script import Day
-    told = _read(Day, script)
+    told = _day(script)
     _decider(decider)
     if seed is not None:
         told.seed = seed
@@ -383,6 +392,23 @@
         raise _refuse(f"{problem.filename or folder}: {problem.strerror or problem}") from None
 
 
+@lab.command("trace")
+def lab_trace(records: Annotated[list[Path], typer.Argument(help="Inputs that controllers of one machine recorded.")],
+              out: Annotated[Path, typer.Option(help="A line an inference; for `recorded` in a day.")],
+              work: Annotated[str, typer.Option(help="Of an inference without a hint.")] = "80ms") -> None:
+    """Write down what controllers were asked, from their recorded inputs, to be asked again on a day."""
+    from sprucespool.gateway import ReplayError
+    from sprucespool.standin.recorded import asked, written
+    try:
+        asks = asked(records, quantity(work, DURATIONS, "80ms"))
+        out.write_bytes(written(asks))
+    except OSError as problem:
+        raise _refuse(f"{problem.filename or out}: {problem.strerror or problem}") from None
+    except (ReplayError, ValueError) as problem:
+        raise _refuse(str(problem)) from None
+    print(f"{len(asks)} inferences of {asks[-1].at / 1000 if asks else 0.0:.1f} s in {out}")
+
+
 @lab.command("report")
 def lab_report(folder: Path, out: Annotated[Path, typer.Option(help="The page.")] = Path("report.html")) -> None:
     """One HTML page of a sweep's results."""
--- a/sprucespool/gateway/record.py
+++ b/sprucespool/gateway/record.py
@@ -1,7 +1,7 @@
 """A gateway's inputs written down, and played again to the same effects byte for byte."""
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import BinaryIO
 
 import msgspec
@@ -44,7 +44,7 @@
         self.gateway.take(now, inputs)
 
 
-def _frames(source: BinaryIO):
+def _frames(source: BinaryIO) -> Iterator[bytes]:
     while len(head := source.read(4)) == 4:
         size = int.from_bytes(head, "big")
         data = source.read(size)
@@ -53,22 +53,42 @@
         yield data
 
 
+def batches(source: BinaryIO) -> Iterator[tuple[float, list[ms.Input]]]:
+    """What was taken when, without its effects. Raises ReplayError on what is no record."""
+    frames = _frames(source)
+    _head(next(frames, b""))
+    yield from _batches(frames)
+
+
+def _head(data: bytes) -> _Head:
+    try:
+        head = msgspec.msgpack.decode(data, type=_Head)
+    except msgspec.DecodeError as problem:
+        raise ReplayError(f"the head of the record: {problem}") from None
+    if head.mark != MARK:
+        raise ReplayError(f"expected a record that begins with {MARK!r}, got {head.mark!r}")
+    return head
+
+
+def _batches(frames: Iterator[bytes]) -> Iterator[tuple[float, list[ms.Input]]]:
+    decoder = msgspec.msgpack.Decoder(tuple[float, list[ms.Input]])
+    for number, data in enumerate(frames):
+        try:
+            yield decoder.decode(data)
+        except msgspec.DecodeError as problem:
+            raise ReplayError(f"batch {number}: {problem}") from None
+
+
 def replay(source: BinaryIO, port: Callable[[ms.Effect], None],
            decider: Callable[[it.Deployment, int], Decider] = Controller) -> Gateway:
     """Play a record; `port` gets the effects. Raises ReplayError on what is no record."""
     frames = _frames(source)
+    head = _head(next(frames, b""))
     try:
-        head = msgspec.msgpack.decode(next(frames, b""), type=_Head)
-        if head.mark != MARK:
-            raise ReplayError(f"expected a record that begins with {MARK!r}, got {head.mark!r}")
         deployment = msgspec.convert(head.deployment, it.Deployment, strict=False)
-        gateway = Gateway(deployment, head.seed, port, decider)
-        decoder = msgspec.msgpack.Decoder(tuple[float, list[ms.Input]])
-        for number, data in enumerate(frames):
-            try:
-                gateway.take(*decoder.decode(data))
-            except msgspec.DecodeError as problem:
-                raise ReplayError(f"batch {number}: {problem}") from None
-    except msgspec.DecodeError as problem:
+    except msgspec.ValidationError as problem:
         raise ReplayError(f"the head of the record: {problem}") from None
+    gateway = Gateway(deployment, head.seed, port, decider)
+    for now, inputs in _batches(frames):
+        gateway.take(now, inputs)
     return gateway
--- a/sprucespool/lab/days.py
+++ b/sprucespool/lab/days.py
@@ -52,7 +52,8 @@
     part."""
     had = sum(machines.count for machines in day.machines)
     machines = [msgspec.structs.replace(one, count=max(1, round(one.count * invokers / had))) for one in day.machines]
-    traffics = [msgspec.structs.replace(one, rate=one.rate * invokers / had) for one in day.traffics]
+    traffics = [msgspec.structs.replace(one, rate=one.rate * invokers / had, users=round(one.users * invokers / had))
+                for one in day.traffics]
     # Seen: 120 invokers at the library of 18 loaded for a minute, and what was measured was that.
     library = msgspec.structs.replace(day.library, smooth=max(1, round(day.library.smooth * invokers / had)),
                                       most=max(1, round(day.library.most * invokers / had)))
--- a/sprucespool/lab/sweep.py
+++ b/sprucespool/lab/sweep.py
@@ -21,6 +21,7 @@
 from sprucespool.lab.days import sized
 from sprucespool.settings import read, write
 from sprucespool.standin.baselines import DECIDERS
+from sprucespool.standin.recorded import with_recorded
 from sprucespool.standin.script import Day
 
 # What each kind of experiment can be told: its cases, and who decides (the first is what others are compared with).
@@ -162,7 +163,7 @@
 
 def _day(job: Job) -> tuple[dict[str, float | None], list[str]]:
     path = Path(job.case)
-    day = read(Day, path.read_text(encoding="utf-8"), job.case)
+    day = with_recorded(read(Day, path.read_text(encoding="utf-8"), job.case), path.parent)
     day = msgspec.structs.replace(sized(day, job.invokers), seed=job.seed)
     came = play_day(day, DECIDERS[job.decider], job.controllers)
     table = came.table
--- a/sprucespool/lab/world.py
+++ b/sprucespool/lab/world.py
@@ -35,7 +35,7 @@
 from sprucespool.standin.invoker import Fault
 from sprucespool.standin.schedule import Schedule, Slot, Step, schedule, worker_facts
 from sprucespool.standin.script import Day
-from sprucespool.standin.traffic import LEAST_WAIT, Plan, catalog, drawn, inferences, patience, repeated
+from sprucespool.standin.traffic import LEAST_WAIT, Asking, Plan, catalog, drawn, patience, repeated
 from sprucespool.wire import outcomes
 
 # One way between two processes of a machine, ms; what a piece that is lost costs until it is sent again.
@@ -146,6 +146,7 @@
         self.troubled = random.Random(day.seed * 100)
         self.client_chance = random.Random(day.seed + 77)
         self.turn = itertools.count()
+        self.asking = Asking(day)
         self.library = Library(LibraryFacts(day.library.smooth, day.library.most))
         self.library_due = math.inf
         self.listed_due = 0.0
@@ -312,7 +313,7 @@
 
     def open_doors(self) -> None:
         """All of the day's inferences to come, and its troubles."""
-        for plan in inferences(self.day):
+        for plan in self.asking.first():
             self._later(plan.at - self.now, partial(self._send_try, plan, 0, 0.0, -1))
         for slot in self.plan.slots:
             for fault in self.plan.faults[slot.number]:
@@ -325,7 +326,7 @@
         begun = begun or self.now
         ttl = patience(plan, group, nth, begun, self.now)
         if ttl < LEAST_WAIT:
-            return
+            return self._next(plan)
         which = next(self.turn) % self.controllers
         if which == avoid:
             which = (which + 1) % self.controllers
@@ -364,6 +365,13 @@
         one = self.members.get(f"c{tried.which}")
         if one is not None and self.desks[one].tries.pop(tried.id, None) is not None:
             self._later(WAY.delay, partial(self._give, one, ms.Left(tried.id)))
+        self._next(tried.plan)
+
+    def _next(self, plan: Plan):
+        """Where a user asked, it asks again."""
+        found = self.asking.after(plan, self.now)
+        if found is not None:
+            self._later(found.at - self.now, partial(self._send_try, found, 0, 0.0, -1))
 
     def _unreached(self, tried: _Try, sent: bool):
         if tried.over:
@@ -391,6 +399,8 @@
         if repeated(tried.plan, self.model_groups[tried.plan.group], self.day.clients, tried.nth, status, never_ran):
             self._later(wait * self.client_chance.uniform(0.8, 1.2), partial(
                 self._send_try, tried.plan, tried.nth + 1, tried.begun, tried.which))
+        else:
+            self._next(tried.plan)
 
     # Effects
 
--- a/sprucespool/standin/clients.py
+++ b/sprucespool/standin/clients.py
@@ -1,4 +1,4 @@
-"""Clients of a day, as a process: open loop, repeats as the script says, each try's end written down."""
+"""Clients of a day, as a process: at a rate or as users, repeats as the script says, each try's end written down."""
 from __future__ import annotations
 
 import asyncio
@@ -16,7 +16,7 @@
 from sprucespool.settings.controller import Group, address
 from sprucespool.standin.script import Day
 from sprucespool.standin.trace import Notes, now_ms
-from sprucespool.standin.traffic import LEAST_WAIT, Plan, inferences, patience, repeated
+from sprucespool.standin.traffic import LEAST_WAIT, Asking, Plan, patience, repeated
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.pool import ENDS, Broken, Heard, Pool, PoolCall, Unconnected
 from sprucespool.wire import inference_pb2 as oip
@@ -59,20 +59,22 @@
         self.pools = [Pool(*address(where), Limits(), limits, n)
                       for n, where in enumerate(told.controllers)]
         self.turn = itertools.count()
+        self.asking = Asking(told.day)
+        # Tries out, and users that think.
         self.open = 0
         self.quiet = asyncio.Event()
         self.answers: dict[int, int] = {}
 
     async def run(self) -> None:
-        plans = inferences(self.day)
+        plans = self.asking.first()
         gc.freeze()
         for plan in plans:
             wait = self.told.begin + plan.at - now_ms()
             if wait > 0:
                 await asyncio.sleep(wait / 1000.0)
             self._send(plan, 0, 0.0, -1)
-        end = self.loop.time() + 30.0
-        while self.open and self.loop.time() < end:
+        end = self.told.begin + self.day.lasts + 30_000.0
+        while self.open and now_ms() < end:
             await asyncio.sleep(0.05)
         for pool in self.pools:
             pool.close()
@@ -97,7 +99,7 @@
         begun = begun or now
         ttl = patience(plan, group, nth, begun, now)
         if ttl < LEAST_WAIT:
-            return
+            return self._next(plan)
         which = next(self.turn) % len(self.pools)
         if which == avoid:
             which = (which + 1) % len(self.pools)
@@ -121,6 +123,7 @@
         else:
             self.notes.write(seen.NoAnswer(now_ms(), one.id))
         self._over(one)
+        self._next(one.plan)
 
     def _over(self, one: _Try):
         one.over = True
@@ -152,6 +155,20 @@
             spread = wait * self.chance.uniform(0.8, 1.2)
             self.open += 1
             self.loop.call_later(spread / 1000.0, self._again, one)
+        else:
+            self._next(one.plan)
+
+    def _next(self, plan: Plan):
+        """Where a user asked, it asks again."""
+        now = now_ms()
+        found = self.asking.after(plan, now - self.told.begin)
+        if found is not None:
+            self.open += 1
+            self.loop.call_later(max(0.0, self.told.begin + found.at - now) / 1000.0, self._thought, found)
+
+    def _thought(self, plan: Plan):
+        self.open -= 1
+        self._send(plan, 0, 0.0, -1)
 
     def _again(self, one: _Try):
         self.open -= 1
--- a/sprucespool/standin/script.py
+++ b/sprucespool/standin/script.py
@@ -93,7 +93,11 @@
     """Inferences of one model group. Times of models are means; single ones lie a third around them."""
     __args__ = ("group",)
     group: str
-    rate: float
+    # Inferences a second, whatever becomes of them; or so many users, each of whom asks again when it has its answer
+    # and has thought about it, on the mean for `think`.
+    rate: float = 0.0
+    users: int = 0
+    think: Duration = 1_000.0
     models: int = 20
     zipf: float = 1.0
     work: Duration = 80.0
@@ -113,8 +117,10 @@
     drift: Duration = 0.0
 
     def __post_init__(self):
-        if self.rate <= 0 or self.models < 1 or self.lanes < 1:
-            raise ValueError("expected a rate above 0 and models and lanes of at least 1")
+        if self.rate < 0 or self.users < 0 or (self.rate > 0) is (self.users > 0):
+            raise ValueError("expected either a rate above 0 or users")
+        if self.think <= 0 or self.models < 1 or self.lanes < 1:
+            raise ValueError("expected think above 0 and models and lanes of at least 1")
         if not 0 <= self.wave <= 1 or self.wave_period <= 0 or self.rush_factor < 1 or self.drift < 0:
             raise ValueError("expected a wave from 0 to 1, a wave-period above 0, a rush-factor of at least 1 and a "
                              "drift of 0 or more")
@@ -122,12 +128,45 @@
     def rushes(self, at: float) -> bool:
         return self.rush_factor > 1 and self.rush_at <= at < self.rush_at + self.rush_lasts
 
+    @property
+    def most_rate(self) -> float:
+        """Inferences a second without troubles, or, of users whose answers take no time, with."""
+        return self.rate or self.users * 1000.0 / self.think
+
     def rate_at(self, at: float) -> float:
         """Inferences a second at that time, less what troubles make of it."""
         swung = self.rate * (1 + self.wave * math.sin(2 * math.pi * at / self.wave_period)) if self.wave else self.rate
         return swung * self.rush_factor if self.rushes(at) else swung
 
 
+class Ask(msgspec.Struct):
+    """One inference, as it was asked or shall be. `wait`: what its client waits; 0: the route timeout."""
+    __args__ = ("group",)
+    group: str
+    at: Duration
+    model: str
+    work: Duration = 80.0
+    tenant: str = ""
+    wait: Duration = 0.0
+    payload: Bytes = 2000
+
+    def __post_init__(self):
+        if not self.model or self.at < 0 or self.work <= 0 or self.wait < 0 or self.payload < 0:
+            raise ValueError("expected a model, a work above 0, and at, wait and payload of 0 or more")
+
+
+class Recorded(msgspec.Struct):
+    """Inferences from a file, an `Ask` as a JSON object a line, times in ms; found beside the script. `speed`: so many
+    times as fast as they came."""
+    __args__ = ("file",)
+    file: str
+    speed: float = 1.0
+
+    def __post_init__(self):
+        if not self.file or not self.speed > 0:
+            raise ValueError("expected a file and a speed above 0")
+
+
 class ClientHabits(msgspec.Struct):
     retries: int = 1
     wait: Duration = 150.0
@@ -218,8 +257,11 @@
     name: str
     lasts: Duration
     machines: list[Machines]
-    traffics: list[Traffic]
     model_groups: list[Group]
+    traffics: list[Traffic] = []
+    # Inferences one by one, besides; `recorded` brings more of them.
+    asks: list[Ask] = []
+    recorded: Recorded | None = None
     seed: int = 1
     controllers: int = 3
     zones: list[str] = msgspec.field(default_factory=lambda: ["hall-a"])
@@ -246,6 +288,11 @@
         for traffic in self.traffics:
             if traffic.group not in known:
                 raise ValueError(f"traffic: no model-group {traffic.group!r}")
+        for ask in self.asks:
+            if ask.group not in known:
+                raise ValueError(f"ask: no model-group {ask.group!r}")
+        if not self.traffics and not self.asks and self.recorded is None:
+            raise ValueError("expected traffic, ask or recorded")
         if self.told not in ("none", "one", "all", "snapshot"):
             raise ValueError(f"told: expected none, one, all or snapshot, got {self.told!r}")
         if not 1 <= self.controllers <= 32 or not self.zones:
--- a/sprucespool/standin/traffic.py
+++ b/sprucespool/standin/traffic.py
@@ -56,14 +56,27 @@
     for traffic in day.traffics:
         names = [f"{traffic.group}-{n}" for n in range(traffic.models)]
         names += [f"{traffic.group}-hot-{n}" for n in range(len(day.troubles) + 1)]
-        names += [f"{traffic.group}-{ONE_OFF}-{n}" for n in range(int(traffic.rate * day.lasts / 1000 * 0.5))] \
+        names += [f"{traffic.group}-{ONE_OFF}-{n}" for n in range(_one_offs(day, traffic))] \
             if any(trouble.kind == "scan" for trouble in day.troubles) else []
         for name in names:
-            found[name] = ModelInfo(_around(chance, traffic.memory / 1e6), traffic.lanes,
-                                    _around(chance, traffic.start), _around(chance, traffic.fetch))
+            found[name] = _model(chance, traffic)
+    for model, group in sorted({ask.model: ask.group for ask in day.asks}.items()):
+        if model not in found:
+            # Recorded or named one by one: of the size of its group's traffic, where it has one.
+            found[model] = _model(chance, next((one for one in day.traffics if one.group == group),
+                                               Traffic(group, 1.0)))
     return found
 
 
+def _model(chance: random.Random, traffic: Traffic) -> ModelInfo:
+    return ModelInfo(_around(chance, traffic.memory / 1e6), traffic.lanes, _around(chance, traffic.start),
+                     _around(chance, traffic.fetch))
+
+
+def _one_offs(day: Day, traffic: Traffic) -> int:
+    return int(traffic.most_rate * day.lasts / 1000 * 0.5)
+
+
 def _active(troubles: list[Trouble], kind: str, at: float) -> Trouble | None:
     return next((one for one in troubles if one.kind == kind and one.at <= at < one.at + one.lasts), None)
 
@@ -85,39 +98,80 @@
             yield at
 
 
+class Asking:
+    """What all clients of a day ask for: `first` is known from its begin; of users whose next question hangs on when
+    they got their last answer, `after` draws it. Each user has chance of its own, so who is late changes nothing of
+    what others ask."""
+
+    def __init__(self, day: Day):
+        self.day = day
+        self.weights = [list(itertools.accumulate(1.0 / (rank + 1) ** traffic.zipf for rank in range(traffic.models)))
+                        for traffic in day.traffics]
+        self.shares = list(itertools.accumulate(tenant.share for tenant in day.tenants))
+        self.once = [0] * len(day.traffics)
+
+    def first(self) -> list[Plan]:
+        """In order of time: the whole day, but for users, of whom each begins once."""
+        plans: list[Plan] = []
+        for number, traffic in enumerate(self.day.traffics):
+            if traffic.users:
+                begins = [self._of_user(number, user, 0, 0.0) for user in range(traffic.users)]
+                plans += [plan for plan in begins if plan is not None]
+                continue
+            chance = random.Random(self.day.seed * 1000 + number)
+            for count, at in enumerate(_arrivals(self.day, traffic, chance)):
+                plans.append(self._plan(number, f"{number}-{count}", at, chance))
+        groups = {group.name: group for group in self.day.model_groups}
+        for count, ask in enumerate(self.day.asks):
+            part = min(1.0, ask.wait / groups[ask.group].route_timeout) if ask.wait else 1.0
+            plans.append(Plan(ask.at, f"ask-{count}", ask.group, ask.model, ask.tenant, ask.work, ask.work, part, None,
+                              ask.payload))
+        return sorted(plans, key=lambda plan: plan.at)
+
+    def after(self, plan: Plan, now: float) -> Plan | None:
+        """What the same user asks next, whose inference was over at `now` ms of the day: nothing after its end, nor
+        of traffic that comes at a rate."""
+        number, user, count = (*plan.root.split("-"), "", "")[:3]
+        return self._of_user(int(number), int(user[1:]), int(count) + 1, now) if user.startswith("u") else None
+
+    def _of_user(self, number: int, user: int, count: int, since: float) -> Plan | None:
+        traffic, chance = self.day.traffics[number], random.Random(f"{self.day.seed} {number} {user} {count}")
+        burst = _active(self.day.troubles, "burst", since)
+        at = since + chance.expovariate((burst.factor if burst else 1.0) / traffic.think)
+        return self._plan(number, f"{number}-u{user}-{count}", at, chance) if at < self.day.lasts else None
+
+    def _plan(self, number: int, root: str, at: float, chance: random.Random) -> Plan:
+        day, traffic = self.day, self.day.traffics[number]
+        weights = self.weights[number]
+        rank = bisect.bisect(weights, chance.random() * weights[-1])
+        rank = min(rank, traffic.models - 1)
+        draw, other = chance.random(), chance.random()
+        if traffic.rushes(at) and draw * traffic.rush_factor < traffic.rush_factor - 1:
+            rank = 0
+        if traffic.drift:
+            rank = (rank + int(at // traffic.drift)) % traffic.models
+        model = f"{traffic.group}-{rank}"
+        hot, scan = _active(day.troubles, "hot-key", at), _active(day.troubles, "scan", at)
+        if hot and draw < hot.share:
+            model = f"{traffic.group}-hot-{day.troubles.index(hot)}"
+        elif scan and other < scan.share:
+            once = self.once[number] if not traffic.users else self.once[number] % _one_offs(day, traffic)
+            model, self.once[number] = f"{traffic.group}-{ONE_OFF}-{once}", self.once[number] + 1
+        tenant = ""
+        if day.tenants:
+            tenant = day.tenants[bisect.bisect(self.shares, chance.random() * self.shares[-1]) % len(day.tenants)].name
+        work = _around(chance, traffic.work, 0.5)
+        part = chance.uniform(day.clients.least_wait, day.clients.most_wait)
+        leaves = chance.random()
+        give_up = _active(day.troubles, "give-up", at)
+        return Plan(at, root, traffic.group, model, tenant, work, _around(chance, work), part,
+                    0.05 + 0.3 * leaves / give_up.share if give_up and leaves < give_up.share else None,
+                    traffic.payload)
+
+
 def inferences(day: Day) -> list[Plan]:
-    """The whole day, in order of time."""
-    plans: list[Plan] = []
-    for number, traffic in enumerate(day.traffics):
-        chance = random.Random(day.seed * 1000 + number)
-        weights = list(itertools.accumulate(1.0 / (rank + 1) ** traffic.zipf for rank in range(traffic.models)))
-        shares = list(itertools.accumulate(tenant.share for tenant in day.tenants))
-        once = 0
-        for count, at in enumerate(_arrivals(day, traffic, chance)):
-            rank = bisect.bisect(weights, chance.random() * weights[-1])
-            rank = min(rank, traffic.models - 1)
-            draw, other = chance.random(), chance.random()
-            if traffic.rushes(at) and draw * traffic.rush_factor < traffic.rush_factor - 1:
-                rank = 0
-            if traffic.drift:
-                rank = (rank + int(at // traffic.drift)) % traffic.models
-            model = f"{traffic.group}-{rank}"
-            hot, scan = _active(day.troubles, "hot-key", at), _active(day.troubles, "scan", at)
-            if hot and draw < hot.share:
-                model = f"{traffic.group}-hot-{day.troubles.index(hot)}"
-            elif scan and other < scan.share:
-                model, once = f"{traffic.group}-{ONE_OFF}-{once}", once + 1
-            tenant = ""
-            if day.tenants:
-                tenant = day.tenants[bisect.bisect(shares, chance.random() * shares[-1]) % len(day.tenants)].name
-            work = _around(chance, traffic.work, 0.5)
-            part = chance.uniform(day.clients.least_wait, day.clients.most_wait)
-            leaves = chance.random()
-            give_up = _active(day.troubles, "give-up", at)
-            plans.append(Plan(at, f"{number}-{count}", traffic.group, model, tenant, work, _around(chance, work), part,
-                              0.05 + 0.3 * leaves / give_up.share if give_up and leaves < give_up.share else None,
-                              traffic.payload))
-    return sorted(plans, key=lambda plan: plan.at)
+    """What is known of the day from its begin, in order of time."""
+    return Asking(day).first()
 
 
 def drawn(day: Day, seed: int) -> list[Trouble]:
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -43,13 +43,20 @@
          'trouble "preempt" at="3500ms" lasts="500ms" share=0.2 span="1500ms" every="300ms"\n')
 
 
+# Users that wait for their answers instead of a rate, and inferences named one by one.
+USERS = HEAD.replace('rate=50.0', 'users=12 think="300ms"') + (
+    'name "users"\nask "bill" at="2s" model="rare" work="30ms"\n')
+
+
 @pytest.fixture(scope="module")
 def played():
-    def one(decider):
-        text = HEAD + (SOUND if decider == "hiku" else DAYS[decider])
-        return decider, play(read(Day, text, decider), Options(decider))
+    def one(name):
+        if name == "users":
+            return name, play(read(Day, USERS, name), Options())
+        text = HEAD + (SOUND if name == "hiku" else DAYS[name])
+        return name, play(read(Day, text, name), Options(name))
     with ThreadPoolExecutor(3) as pool:
-        return dict(pool.map(one, ["hiku", *DAYS]))
+        return dict(pool.map(one, ["hiku", "users", *DAYS]))
 
 
 def test_a_day_of_trouble_keeps_the_rules_and_ends_clean(played):
@@ -71,6 +78,14 @@
     assert abs(mine.service - its.service) < 0.25 and abs(mine.forwards - its.forwards) < 0.25 * its.forwards
 
 
+def test_users_ask_over_sockets_as_they_do_in_virtual_time(played):
+    virtual, sockets = play_virtual(read(Day, USERS, "users")), played["users"]
+    assert sockets.broken == sockets.unclean == virtual.broken == []
+    assert sockets.table.taken > 100 and sockets.table.service > 0.3
+    # Who is answered later asks less: wide, for machines that are busy.
+    assert abs(virtual.table.taken - sockets.table.taken) < 0.3 * virtual.table.taken
+
+
 @pytest.mark.parametrize("rule", [1, 2, 3, 4, 5])
 def test_a_controller_without_one_guard_is_told(played, rule):
     assert rule in {broken.rule for broken in played[f"broken-{rule}"].broken}
--- a/tests/test_lab_days.py
+++ b/tests/test_lab_days.py
@@ -11,10 +11,13 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_days import DAYS, HEAD, SOUND
+from test_days import DAYS, HEAD, SOUND, USERS
+from world import deployment, group
 
 from sprucespool.emulator.group import StandsStill
 from sprucespool.gateway import Gateway
+from sprucespool.gateway import messages as ms
+from sprucespool.gateway.record import Recorder
 from sprucespool.faults import Links, LinkState
 from sprucespool.judge import seen
 from sprucespool.lab import saving, sweep
@@ -26,7 +29,8 @@
 from sprucespool.settings import Refused, read
 from sprucespool.standin.badlinks import BadLinks
 from sprucespool.standin.baselines import DECIDERS, GATEWAYS
-from sprucespool.standin.script import Day
+from sprucespool.standin.recorded import with_recorded
+from sprucespool.standin.script import Day, Recorded
 from sprucespool.standin.traffic import inferences
 
 ROOT = Path(__file__).parent.parent
@@ -325,3 +329,85 @@
     large = sized(day, 180)
     assert sum(one.count for one in large.machines) == 180 and large.library.smooth == 10 * day.library.smooth
     assert large.library.most == 10 * day.library.most and large.traffics[0].rate == 10 * day.traffics[0].rate
+
+
+def with_users(text=""):
+    return read(Day, USERS + text, "day")
+
+
+def open_at_most(notes):
+    """Most tries out at once, of any user's; ends are what clients saw."""
+    ends = (seen.Answer, seen.NoAnswer, seen.LeftEarly, seen.Unreached)
+    out, most, each = {}, 0, {}
+    for one in sorted((one for one in notes if isinstance(one, (seen.Sent, *ends))), key=lambda one: one.t):
+        if isinstance(one, seen.Sent):
+            user = one.root.rpartition("-")[0]
+            if "u" in user:
+                out[one.id] = user
+                each[user] = each.get(user, 0) + 1
+        else:
+            out.pop(one.id, None)
+        most = max(most, len(set(out.values())))
+        assert len(set(out.values())) == len(out), "a user asks one thing at a time"
+    return most, each
+
+
+def test_users_ask_again_when_they_have_their_answer_and_less_where_answers_are_slow():
+    quick, slow = play(with_users()), play(with_users('trouble "crawl" at="0s" lasts="7s" share=1.0 factor=8.0\n'))
+    world = begun(with_users())
+    world.run(20_000.0)
+    most, each = open_at_most(world.notes)
+    assert 1 < most <= 12 and len(each) == 12 and min(each.values()) > 3
+    assert quick.broken == slow.broken == []
+    assert slow.table.taken < 0.8 * quick.table.taken, "who waits does not ask"
+    again = begun(with_users())
+    again.run(20_000.0)
+    assert digest(again) == digest(world)
+
+
+def test_traffic_comes_at_a_rate_or_of_users():
+    for wrong in ('rate=5.0 users=3', 'models=4', 'users=3 think="0s"'):
+        with pytest.raises(Refused, match="rate above 0 or users|think above 0"):
+            script(f'name "x"\ntraffic "line" {wrong}\n')
+
+
+def recorded(path, calls):
+    """A controller's record of these (ms, inputs)."""
+    with open(path, "wb") as sink:
+        recorder = Recorder(Gateway(deployment(groups=[group("line")]), 1, lambda effect: None), sink)
+        for now, inputs in calls:
+            recorder.take(now, inputs)
+
+
+def test_what_controllers_were_asked_is_asked_again_on_a_day(tmp_path):
+    recorded(tmp_path / "c0.inputs", [(5_000.0 + 100 * n, [ms.Call(f"a{n}", "line", "m1", 900.0, work=40.0)])
+                                      for n in range(40)])
+    recorded(tmp_path / "c1.inputs", [(5_050.0 + 200 * n, [
+        ms.Call(f"b{n}", "line", f"m{n % 3}", 1_200.0), ms.Call(f"b{n}.1", "line", "m1", 500.0, repeat=True)])
+        for n in range(20)])
+    out = tmp_path / "trace.jsonl"
+    command = [sys.executable, "-m", "sprucespool.cli.main", "lab", "trace", "--out", str(out)]
+    told = subprocess.run([*command, str(tmp_path / "c0.inputs"), str(tmp_path / "c1.inputs")], capture_output=True,
+                          text=True)
+    assert told.returncode == 0 and told.stdout.startswith("60 inferences of 3.9 s"), told.stderr
+    asks = [json.loads(line) for line in out.read_text().splitlines()]
+    assert [ask["at"] for ask in asks[:3]] == [0.0, 50.0, 100.0]
+    assert asks[1]["work"] == 80.0 and asks[0]["wait"] == 900.0
+    lines = [line for line in HEAD.splitlines() if not line.startswith("traffic")]
+    day = read(Day, "\n".join(lines) + '\nname "again"\nrecorded "trace.jsonl" speed=2.0\n', "day")
+    whole = with_recorded(day, tmp_path)
+    assert [ask.at for ask in whole.asks[:3]] == [0.0, 25.0, 50.0] and whole.asks[-1].at == 1_950.0
+    came = play(whole)
+    assert came.broken == [] and came.table.taken >= 60 and came.table.in_slo_time > 30
+    assert {one.model for one in inferences(whole)} == {"m0", "m1", "m2"}
+    out.write_text(out.read_text() + '{"group": "line", "at": 3, "model": 7}\n')
+    with pytest.raises(ValueError, match=r"trace.jsonl:61: Expected `str`, got `int` - at `\$.model`"):
+        with_recorded(day, tmp_path)
+    out.write_text('{"group": "else", "at": 3, "model": "m"}\n')
+    with pytest.raises(ValueError, match="trace.jsonl:1: no model-group 'else'"):
+        with_recorded(day, tmp_path)
+    with pytest.raises(ValueError, match="none.jsonl: No such file"):
+        with_recorded(msgspec.structs.replace(day, recorded=Recorded("none.jsonl")), tmp_path)
+    (tmp_path / "c0.inputs").write_bytes(b"no record")
+    wrong = subprocess.run([*command, str(tmp_path / "c0.inputs")], capture_output=True, text=True)
+    assert wrong.returncode == 2 and wrong.stderr.startswith("the head of the record")
