--- a/sprucespool/cli/lab.py
+++ b/sprucespool/cli/lab.py
@@ -10,6 +10,7 @@
 
 from sprucespool.emulator.hunt import Course
 from sprucespool.gateway import Gateway
+from sprucespool.lab.coursedays import MODULE_BUILDS
 from sprucespool.lab.defects import BUILDS, DEFECTS
 from sprucespool.lab.days import Played, begun, ended, sized
 from sprucespool.lab.hunting import Hunted, hunt, played
@@ -25,13 +26,14 @@
     return range(int(first), int(last or first) + 1)
 
 
-def run_hunt(seeds: str, build: str, most: int, workers: int, folder: Path) -> int:
+def run_hunt(seeds: str, build: str, most: int, workers: int, folder: Path, module: bool = False) -> int:
     """Gives the exit status. Raises ValueError on what is no build or span, OSError."""
     span = _span(seeds)
-    if build not in (*BUILDS, "all"):
-        raise ValueError(f"--build: expected one of {', '.join((*BUILDS, 'all'))}, got {build!r}")
-    found = [hunt(name, span, most, workers, folder, lambda line: print(line, file=sys.stderr))
-             for name in (DEFECTS if build == "all" else [build])]
+    builds, defects = (MODULE_BUILDS, MODULE_BUILDS[1:]) if module else (tuple(BUILDS), tuple(DEFECTS))
+    if build not in (*builds, "all"):
+        raise ValueError(f"--build: expected one of {', '.join((*builds, 'all'))}, got {build!r}")
+    found = [hunt(name, span, most, workers, folder, lambda line: print(line, file=sys.stderr), module)
+             for name in (defects if build == "all" else [build])]
     Console(width=140).print(_table(found))
     return int(any(one.build == "sound" and one.small is not None for one in found))
 
@@ -49,9 +51,9 @@
     return table
 
 
-def run_replay(course: Course) -> int:
+def run_replay(course: Course, module: bool = False) -> int:
     """Raises ValueError on an unknown build."""
-    found = played(course)
+    found = played(course, module)
     for one in found.broken:
         print(f"({one.which}) at {one.at / 1000:.1f} s: {one.what}")
     print(f"{len(course.faults)} faults, build {course.build}: {len(found.broken)} broken")
--- a/sprucespool/cli/main.py
+++ b/sprucespool/cli/main.py
@@ -314,13 +314,15 @@
         build: Annotated[str, typer.Option(help="A build with a seeded defect; `all`: a table of all.")] = "sound",
         most: Annotated[int, typer.Option(help="Faults in a course.", min=1, max=20)] = 5,
         guided: Annotated[bool, typer.Option("--guided", help="Courses drawn at where one word decides.")] = False,
+        module: Annotated[bool, typer.Option("--module", help="Each as a day on the module, under the five rules "
+                                                              "besides.")] = False,
         workers: Annotated[int, typer.Option(min=1, max=256)] = 4,
         folder: Annotated[Path, typer.Option(help="Where courses that break something are written.")] = Path(
             "hunted")) -> None:
     """Search for a course of faults that breaks an invariant; status 1 if the sound build has one."""
     from sprucespool.cli.lab import run_hunt
     try:
-        raise typer.Exit(run_hunt(seeds, build, 0 if guided else most, workers, folder))
+        raise typer.Exit(run_hunt(seeds, build, 0 if guided else most, workers, folder, module))
     except ValueError as problem:
         raise _refuse(str(problem)) from None
     except OSError as problem:
@@ -328,12 +330,13 @@
 
 
 @lab.command("replay")
-def lab_replay(course: Path) -> None:
+def lab_replay(course: Path, module: Annotated[bool, typer.Option("--module", help="As a day on the module.")] = False
+               ) -> None:
     """Play one written course again; status 1 if it breaks what must hold."""
     from sprucespool.cli.lab import run_replay
     from sprucespool.emulator.hunt import Course
     try:
-        raise typer.Exit(run_replay(_read(Course, course)))
+        raise typer.Exit(run_replay(_read(Course, course), module))
     except ValueError as problem:
         raise _refuse(f"{course}: {problem}") from None
 
--- a/sprucespool/standin/schedule.py
+++ b/sprucespool/standin/schedule.py
@@ -166,9 +166,10 @@
     elif kind == "drain-zone":
         steps += [Step(at, "drain-zone", name=trouble.what), Step(at + lasts, "undrain-zone", name=trouble.what)]
     elif kind == "controller-restart":
-        target = chance.randrange(day.controllers)
-        steps.append(Step(at, "controller-kill", target))
-        steps.append(Step(at + trouble.span, "controller-start", target))
+        restarted = day.named(trouble.what) if trouble.what else {f"c{chance.randrange(day.controllers)}"}
+        for target in sorted(int(name[1:]) for name in restarted if name[0] == "c"):
+            steps.append(Step(at, "controller-kill", target))
+            steps.append(Step(at + trouble.span, "controller-start", target))
     elif kind == "all-restart":
         steps += [Step(at, "controller-kill", target) for target in range(day.controllers)]
         steps += [Step(at + trouble.span, "controller-start", target) for target in range(day.controllers)]
--- a/sprucespool/standin/script.py
+++ b/sprucespool/standin/script.py
@@ -33,7 +33,7 @@
     "library-slow": "fetches take `factor` times as long",
     "library-down": "the library turns all fetches away",
     "stall": "a controller is held by SIGSTOP for `span` every `every`",
-    "controller-restart": "a controller is killed and started again after `span`",
+    "controller-restart": "the controllers that `what` names, or one of chance, are killed and start after `span`",
     "all-restart": "all controllers are killed and started again after `span`",
     "partition": "what `between` names reaches what `and` names no more (`way`: both, there, back; `how`: silent, "
                  "refused, reset, stopped); a comma in `between` alone parts each from each",
@@ -310,7 +310,8 @@
                 self.named(name)
             if trouble.kind in AT_PLACES and trouble.what:
                 self.named(trouble.what)
-            if trouble.kind in ("zone-lost", "invokers-lost", "controller-stop", "clock-jump"):
+            if trouble.kind in ("zone-lost", "invokers-lost", "controller-stop", "clock-jump") or (
+                    trouble.kind in ("controller-kill", "controller-restart") and trouble.what):
                 self.named(trouble.what)
             if trouble.kind == "drain-zone" and (self.failover is None or trouble.what not in self.zones):
                 raise ValueError("trouble drain-zone: expected a failover node and a zone in what")
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -7,9 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sprucespool.emulator.hunt import KINDS, Course, Fault, Found, drawn, guided, play, shrunk
+from sprucespool.emulator.hunt import KINDS, KINDS_GUIDED, Course, Fault, Found, drawn, guided, play, shrunk
 from sprucespool.judge.group import BrokenInvariant
+from sprucespool.lab.coursedays import as_day
 from sprucespool.lab.hunting import hunt, opened, played
+from sprucespool.settings import read, write
+from sprucespool.standin.schedule import schedule
+from sprucespool.standin.script import Day
 
 
 def command(*words):
@@ -96,3 +100,31 @@
     (tmp_path / "file").write_text("")
     with pytest.raises(OSError):
         hunt("failover-e", range(1, 3), workers=1, folder=tmp_path / "file")
+
+
+def test_a_course_as_a_day_is_played_on_the_module_and_by_whoever_reads_it(tmp_path):
+    course = drawn(5)
+    day = as_day(course)
+    assert read(Day, write(day), "day") == day and {one.kind for one in day.troubles} == {"hang", "controller-restart"}
+    assert [one.what for one in day.troubles if one.at == day.troubles[-1].at] and day.lasts > 50_000.0
+    found = played(msgspec.structs.replace(course, faults=course.faults[:1]), module=True)
+    assert found.broken == [] and found.events > 10_000
+    for kind, where in KINDS_AND_PLACES.items():
+        fault = Fault(kind, 6_000.0, 5_000.0, *where)
+        made = as_day(Course(faults=[fault]))
+        assert read(Day, write(made), kind) == made and schedule(made).steps or schedule(made).faults
+    with pytest.raises(ValueError, match="at most 32 in a day, got 300"):
+        as_day(Course(controllers=300, invokers=120))
+    with pytest.raises(ValueError, match="build: expected one of sound, broken-1"):
+        played(Course(build="group-a"), module=True)
+
+
+KINDS_AND_PLACES = {kind: ("z1", "") if "`zone`" in what else ("", "c1,c2") if "`who`" in what else ("", "")
+                    for kind, what in {**KINDS, **KINDS_GUIDED}.items()}
+
+
+def test_a_module_without_a_guard_is_found_and_written_as_a_day(tmp_path):
+    found = hunt("broken-2", range(5, 9), 5, 1, tmp_path, module=True)
+    assert found.small is not None and {one.which for one in found.small.broken} & {"rule 2"}
+    written = found.path.with_suffix(".day.kdl").read_text()
+    assert "--decider broken-2" in written and read(Day, written, "day").name.startswith("broken-2")
