--- a/benchmarks/event_queue.py
+++ b/benchmarks/event_queue.py
@@ -1,7 +1,8 @@
 """The world's queue of events, heapq, against buckets of a millisecond: hold as many as a day does, take one, put one.
 
-    python benchmarks/event_queue.py [--held 1000,10000,100000] [--events 1000000]
+python benchmarks/event_queue.py [--held 1000,10000,100000] [--events 1000000]
 """
+
 from __future__ import annotations
 
 import argparse
--- a/sprucespool/adapter/door.py
+++ b/sprucespool/adapter/door.py
@@ -1,4 +1,5 @@
 """One controller behind its door: ids outside, objects inside."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -7,8 +8,11 @@
 from sprucespool.adapter.wire import OUTCOMES, STATUSES, Fields, Malformed, Settings
 from sprucespool.policy import Controller
 
-EFFECTS = {"idempotent": it.Effect.RETRIABLE, "deduplicated": it.Effect.DEDUPED,
-           "at_most_once": it.Effect.NON_RETRIABLE}
+EFFECTS = {
+    "idempotent": it.Effect.RETRIABLE,
+    "deduplicated": it.Effect.DEDUPED,
+    "at_most_once": it.Effect.NON_RETRIABLE,
+}
 SCOPES = {scope.value: scope for scope in it.Scope}
 NEWS = {kind.value: kind for kind in it.News}
 FOUND = (it.Found.UNTOLD, it.Found.WARM, it.Found.BEGAN_LOAD, it.Found.AWAITED_LOAD)
@@ -17,6 +21,7 @@
 
 class _Ticket:
     """An inference of this controller with its forwards as the wire numbers them."""
+
     __slots__ = ("inference", "forwards", "out", "ended")
 
     def __init__(self, inference: it.Inference):
@@ -32,20 +37,31 @@
         at = f"profiles.{n}."
         effect = settings.one_of(at + "effect", EFFECTS)
         deduped = effect is it.Effect.DEDUPED
-        groups.append(it.ModelGroup(
-            name=settings.text(at + "name"), slo_time=settings.number(at + "slo", positive=True),
-            slo_per_work=settings.number(at + "aimStretch", 0.0),
-            route_timeout=settings.number(at + "deadline", positive=True), value=settings.number(at + "credit"),
-            late_value=settings.number(at + "lateWorth", 0.0), effect=effect,
-            scope=settings.one_of(at + "group", SCOPES) if deduped else it.Scope.ALL,
-            dedup_window=settings.number(at + "dedupWindow") if deduped else 0.0,
-            streamed=settings.flag(at + "streamed", False)))
+        groups.append(
+            it.ModelGroup(
+                name=settings.text(at + "name"),
+                slo_time=settings.number(at + "slo", positive=True),
+                slo_per_work=settings.number(at + "aimStretch", 0.0),
+                route_timeout=settings.number(at + "deadline", positive=True),
+                value=settings.number(at + "credit"),
+                late_value=settings.number(at + "lateWorth", 0.0),
+                effect=effect,
+                scope=settings.one_of(at + "group", SCOPES) if deduped else it.Scope.ALL,
+                dedup_window=settings.number(at + "dedupWindow") if deduped else 0.0,
+                streamed=settings.flag(at + "streamed", False),
+            )
+        )
     if not groups:
         raise Malformed("expected at least one of profiles")
     _told_once("profiles", [group.name for group in groups])
-    tenants = [it.Tenant(settings.text(f"tenants.{n}.name"), settings.number(f"tenants.{n}.portion"),
-                         settings.number(f"tenants.{n}.quotaRps"))
-               for n in range(settings.count("tenants"))]
+    tenants = [
+        it.Tenant(
+            settings.text(f"tenants.{n}.name"),
+            settings.number(f"tenants.{n}.portion"),
+            settings.number(f"tenants.{n}.quotaRps"),
+        )
+        for n in range(settings.count("tenants"))
+    ]
     _told_once("tenants", [tenant.name for tenant in tenants])
     controllers, own_number = settings.whole("balancers", least=1), settings.whole("me")
     if own_number >= controllers:
@@ -53,17 +69,26 @@
     asked = settings.one_of("registryMode", {"automatic": False, "subscribe": True})
     kinds, memory = settings.names("models"), settings.numbers("specifics.ramMbByKind")
     return it.Deployment(
-        controllers=controllers, own_number=own_number,
-        own_zone=settings.text("myZone"), groups=groups, tenants=tenants,
-        over_share_value=settings.number("overShareWorth", 1.0), tick=settings.number("tick"),
+        controllers=controllers,
+        own_number=own_number,
+        own_zone=settings.text("myZone"),
+        groups=groups,
+        tenants=tenants,
+        over_share_value=settings.number("overShareWorth", 1.0),
+        tick=settings.number("tick"),
         answer_slack=settings.number("rules.answerSlack"),
         drain_grace=settings.number("rules.stopSendingWithin"),
-        cold_share=settings.number("rules.coldFrom", most=1.0), warm_after=settings.number("rules.warmAfter"),
-        fall_multiple=settings.number("rules.fallMultiple"), fall_window=settings.number("rules.fall"),
-        roster_asked=asked, ask_every=settings.number("rules.askEvery", None if asked else 0.0),
-        may_call_off=settings.flag("ceilings.cancel"), may_probe=settings.flag("ceilings.probes"),
+        cold_share=settings.number("rules.coldFrom", most=1.0),
+        warm_after=settings.number("rules.warmAfter"),
+        fall_multiple=settings.number("rules.fallMultiple"),
+        fall_window=settings.number("rules.fall"),
+        roster_asked=asked,
+        ask_every=settings.number("rules.askEvery", None if asked else 0.0),
+        may_call_off=settings.flag("ceilings.cancel"),
+        may_probe=settings.flag("ceilings.probes"),
         may_duplicate=settings.flag("ceilings.mayDuplicate"),
-        may_message=settings.flag("ceilings.peers"), may_order=settings.flag("specifics.loadControl", False),
+        may_message=settings.flag("ceilings.peers"),
+        may_order=settings.flag("specifics.loadControl", False),
         tells_retry_after=settings.flag("ceilings.retryAfter", False),
         longest_retry_after=settings.number("ceilings.maxRetryAfter", 0.0),
         most_forwards=settings.whole("ceilings.mostTries", least=1),
@@ -78,11 +103,11 @@
         tells_same_model=settings.flag("specifics.notesPeersInHand", False),
         valued_by_work=settings.one_of("countedBy", {"request": False, "work": True}),
         report_fields=settings.names("feedback.fields"),
-        report_meanings={name: settings.pairs.get("specifics.report" + name.upper(), "")
-                         for name in ("x0", "x1")},
+        report_meanings={name: settings.pairs.get("specifics.report" + name.upper(), "") for name in ("x0", "x1")},
         memory_mb=dict(zip(kinds, memory, strict=False)),
         crossing_price=settings.number("prices.crossZone", 0.0),
-        handshake_price=settings.number("prices.handshake", 0.0))
+        handshake_price=settings.number("prices.handshake", 0.0),
+    )
 
 
 def _told_once(what: str, names: list[str]):
@@ -91,8 +116,18 @@
 
 
 class Door:
-    __slots__ = ("controller", "deployment", "groups", "tenants", "tickets", "settled", "invokers", "models",
-                 "numbers", "leaving")
+    __slots__ = (
+        "controller",
+        "deployment",
+        "groups",
+        "tenants",
+        "tickets",
+        "settled",
+        "invokers",
+        "models",
+        "numbers",
+        "leaving",
+    )
 
     def __init__(self, settings: Settings, seed: int):
         self.deployment = deployment(settings)
@@ -133,10 +168,18 @@
         if owner not in (None, "0") and tenant is None:
             raise Malformed(f"expected owner as in tenants, got {owner!r}")
         inference = it.Inference(
-            name=name, group=f.one_of("grade", self.groups), model=it.Model(image), tenant=tenant,
-            ttl=f.number("ttl"), work=f.optional_number("weightHint") if options & 1 else None,
-            memory_mb=f.optional_number("ramMb"), lanes=f.optional_whole("parallel"),
-            load_time=f.optional_number("loadMs"), repeat=bool(options & 2), write=bool(options & 4))
+            name=name,
+            group=f.one_of("grade", self.groups),
+            model=it.Model(image),
+            tenant=tenant,
+            ttl=f.number("ttl"),
+            work=f.optional_number("weightHint") if options & 1 else None,
+            memory_mb=f.optional_number("ramMb"),
+            lanes=f.optional_whole("parallel"),
+            load_time=f.optional_number("loadMs"),
+            repeat=bool(options & 2),
+            write=bool(options & 4),
+        )
         inference.model = self.models.setdefault(image, inference.model)
         self.tickets[name] = _Ticket(inference)
         return it.Arrived(inference)
@@ -164,22 +207,30 @@
         ticket.out -= 1
         ticket.ended = ticket.ended or final
         self.leaving.append((ticket, forward))
-        return it.Ended(forward, outcome, final, elapsed, found, outcome is not it.Outcome.RETURNED
-                        and note & 7 == LOAD_FAILED, note >> 3 if crowd else None, report)
+        return it.Ended(
+            forward,
+            outcome,
+            final,
+            elapsed,
+            found,
+            outcome is not it.Outcome.RETURNED and note & 7 == LOAD_FAILED,
+            note >> 3 if crowd else None,
+            report,
+        )
 
     def first(self, f: Fields) -> it.Streaming:
         return it.Streaming(self._forward(f)[1], f.number("elapsed"))
 
     def sampled(self, f: Fields) -> it.Probed:
-        return it.Probed(self._invoker(f), f.one_of("reason", OUTCOMES), f.number("elapsed"),
-                         f.report("metrics"))
+        return it.Probed(self._invoker(f), f.one_of("reason", OUTCOMES), f.number("elapsed"), f.report("metrics"))
 
     def stands(self, f: Fields) -> it.OrderSettled:
         image = str(f.whole("image"))
         if image not in self.models:
             raise Malformed(f"expected an image that was ordered, got {image!r}")
-        return it.OrderSettled(self._invoker(f), self.models[image], f.one_of("reason", OUTCOMES),
-                               f.whole("howMany"), f.number("elapsed"))
+        return it.OrderSettled(
+            self._invoker(f), self.models[image], f.one_of("reason", OUTCOMES), f.whole("howMany"), f.number("elapsed")
+        )
 
     def alarm(self, f: Fields) -> it.TimerDue:
         return it.TimerDue(f.whole("handle"))
@@ -194,12 +245,23 @@
         table = f.whole("table")
         if table not in lists:
             raise Malformed(f"expected the number of an INVENTORY, got {table}")
-        entries = [(row.text("invoker"), row.text("dc"), row.text("type"), row.text("bay"),
-                    row.one_of("state", STATUSES), row.number("nominal"),
-                    row.optional_number("bootTime") or 0.0) for row in lists[table]]
-        return it.RosterNews(kind, version, [
-            it.RosterEntry(self.invokers.setdefault(name, it.Invoker(name)), *facts)
-            for name, *facts in entries])
+        entries = [
+            (
+                row.text("invoker"),
+                row.text("dc"),
+                row.text("type"),
+                row.text("bay"),
+                row.one_of("state", STATUSES),
+                row.number("nominal"),
+                row.optional_number("bootTime") or 0.0,
+            )
+            for row in lists[table]
+        ]
+        return it.RosterNews(
+            kind,
+            version,
+            [it.RosterEntry(self.invokers.setdefault(name, it.Invoker(name)), *facts) for name, *facts in entries],
+        )
 
     def tidy(self):
         """Ids stay good until their batch is answered: its events are fixed before any of them is."""
@@ -253,13 +315,18 @@
     it.SetTimer: lambda _, a: f"NOTIFY_ME offset={a.after:.3f} handle={a.token}",
     it.Probe: lambda _, a: f"ASK_LOAD invoker={a.invoker.name}",
     it.CloseIdle: lambda _, a: f"SHUT_IDLE invoker={a.invoker.name}",
-    it.Message: lambda _, a: (f"MEMO_TO recipient={'*' if a.peer is None else a.peer} "
-                              f"raw={a.payload.hex() or '-'}"),
+    it.Message: lambda _, a: f"MEMO_TO recipient={'*' if a.peer is None else a.peer} raw={a.payload.hex() or '-'}",
     it.Subscribe: lambda _, a: f"OBSERVE active={int(a.active)}",
     it.FetchRoster: lambda _, a: "LIST_ALL",
     it.Log: lambda _, a: f"TRACE message={_plain(a.text)}",
 }
 READERS = {
-    "ARRIVAL": Door.arrived, "LAPSED": Door.lapsed, "DONE": Door.done, "FIRST": Door.first,
-    "SAMPLED": Door.sampled, "STANDS": Door.stands, "ALARM": Door.alarm, "PEER_DATA": Door.peer_data,
+    "ARRIVAL": Door.arrived,
+    "LAPSED": Door.lapsed,
+    "DONE": Door.done,
+    "FIRST": Door.first,
+    "SAMPLED": Door.sampled,
+    "STANDS": Door.stands,
+    "ALARM": Door.alarm,
+    "PEER_DATA": Door.peer_data,
 }
--- a/sprucespool/adapter/session.py
+++ b/sprucespool/adapter/session.py
@@ -1,4 +1,5 @@
 """Batches in, replies out, for as many instances as the input names."""
+
 from __future__ import annotations
 
 import traceback
@@ -123,8 +124,10 @@
                 written = [door.line(action) for action in door.controller.handle(now, events)]
             except Exception as problem:  # the bench wants any failure of the decision code told on the wire
                 frame = traceback.extract_tb(problem.__traceback__)[-1]
-                written = [f"INTERNAL_ERROR message={type(problem).__name__}: {problem} "
-                           f"at {frame.name} line {frame.lineno}".replace("\n", " ")]
+                written = [
+                    f"INTERNAL_ERROR message={type(problem).__name__}: {problem} "
+                    f"at {frame.name} line {frame.lineno}".replace("\n", " ")
+                ]
             door.tidy()
             if written:
                 lines.append(f"INSTANCE i={name}")
--- a/sprucespool/adapter/wire.py
+++ b/sprucespool/adapter/wire.py
@@ -1,4 +1,5 @@
 """Lines of the wire taken apart into typed fields."""
+
 from __future__ import annotations
 
 import math
@@ -7,8 +8,14 @@
 from sprucespool.interface import Outcome, Status
 
 OUTCOMES = {
-    "200": Outcome.RETURNED, "502": Outcome.ERROR, "429": Outcome.FULL, "408": Outcome.TIMED_OUT,
-    "521": Outcome.UNCONNECTED, "520": Outcome.RESET, "444": Outcome.CALLED_OFF, "409": Outcome.NOT_SENT,
+    "200": Outcome.RETURNED,
+    "502": Outcome.ERROR,
+    "429": Outcome.FULL,
+    "408": Outcome.TIMED_OUT,
+    "521": Outcome.UNCONNECTED,
+    "520": Outcome.RESET,
+    "444": Outcome.CALLED_OFF,
+    "409": Outcome.NOT_SENT,
     "204": Outcome.MISS,
 }
 STATUSES = {"in_service": Status.IN_SERVICE, "terminating": Status.DRAINING, "terminated": Status.GONE}
@@ -21,6 +28,7 @@
 
 class Fields:
     """The name=value pairs of one line."""
+
     __slots__ = ("kind", "pairs")
 
     def __init__(self, line: str):
@@ -91,6 +99,7 @@
 class Settings:
     """The path=value pairs of CONFIGURE. Against a typo that only shows when it breaks a rule: a value out of its
     range is refused here, whoever tells it, and one that is absent is never taken for one that can't be read."""
+
     __slots__ = ("pairs", "inner")
 
     def __init__(self, pairs: dict[str, str]):
--- a/sprucespool/cli/asking.py
+++ b/sprucespool/cli/asking.py
@@ -1,4 +1,5 @@
 """One unary call to a running controller, for commands that show something of it."""
+
 from __future__ import annotations
 
 import asyncio
@@ -39,6 +40,7 @@
             call.consumed(event.size)
         elif isinstance(event, ENDS) and not done.done():
             done.set_result(event)
+
     call = pool.call(path, {}, within, request.SerializeToString(), heard)
     try:
         event = await asyncio.wait_for(done, within / 1000.0)
@@ -59,13 +61,22 @@
     return msgspec.json.decode(reply.view, type=kind)
 
 
-def show(fetch: Callable[[str], Awaitable[Any]], differences: Callable[[list[Any]], list[str]],
-         table: Callable[[Any], Table], same: str, addresses: list[str], watch: bool, as_json: bool,
-         compare: bool) -> int:
+def show(
+    fetch: Callable[[str], Awaitable[Any]],
+    differences: Callable[[list[Any]], list[str]],
+    table: Callable[[Any], Table],
+    same: str,
+    addresses: list[str],
+    watch: bool,
+    as_json: bool,
+    compare: bool,
+) -> int:
     """The view of the first address, or in what those of all differ; again each second with `watch`. Gives the exit
     status: 1 where those compared differ. Raises Unreachable, and ValueError on what is no address."""
+
     async def all_of(wanted: list[str]) -> list[Any]:
         return list(await asyncio.gather(*(fetch(where) for where in wanted)))
+
     while True:
         views = asyncio.run(all_of(addresses if compare else addresses[:1]))
         found = differences(views) if compare else []
--- a/sprucespool/cli/fleet.py
+++ b/sprucespool/cli/fleet.py
@@ -1,4 +1,5 @@
 """`sprucespool fleet`: the invokers as a running controller knows them."""
+
 from __future__ import annotations
 
 from rich.table import Table
@@ -17,15 +18,19 @@
 
 def differences(views: list[FleetShown]) -> list[str]:
     """Processes of which the views hold different things, a line each."""
+
     def told(line: Shown | None) -> str:
         return "not known" if line is None else f"{line.status}, zone {line.zone or '-'}, {line.kind or 'no kind'}"
+
     rows = [{(line.address, line.boot): line for line in view.invokers} for view in views]
     lines = []
     for process in sorted(set().union(*rows)):
         said = [told(found.get(process)) for found in rows]
         if len(set(said)) > 1:
-            lines.append(f"{process[0]} {process[1] or '(no boot)'}: " + "; ".join(
-                f"{view.me}: {text}" for view, text in zip(views, said, strict=True)))
+            lines.append(
+                f"{process[0]} {process[1] or '(no boot)'}: "
+                + "; ".join(f"{view.me}: {text}" for view, text in zip(views, said, strict=True))
+            )
     return lines
 
 
@@ -39,8 +44,11 @@
 
 def _table(view: FleetShown) -> Table:
     roster = f"roster {view.source or '-'} {view.version}" + ("" if view.live else ", LOST")
-    more = "".join(f", {what} {', '.join(map(str, found))}" for what, found in (
-        ("PANIC in zone", [zone or "-" for zone in view.panic]), ("not believed:", view.distrusted)) if found)
+    more = "".join(
+        f", {what} {', '.join(map(str, found))}"
+        for what, found in (("PANIC in zone", [zone or "-" for zone in view.panic]), ("not believed:", view.distrusted))
+        if found
+    )
     table = Table(title=f"invokers of group {view.group} as {view.me} knows them: digest {view.digest}, {roster}{more}")
     for name in ("zone", "invoker", "process", "kind", "state", "running", "copies", "who says what"):
         table.add_column(name)
--- a/sprucespool/cli/lab.py
+++ b/sprucespool/cli/lab.py
@@ -1,4 +1,5 @@
 """`sprucespool lab`: fault search, days, sweeps in virtual time."""
+
 from __future__ import annotations
 
 import sys
@@ -32,8 +33,10 @@
     builds, defects = (MODULE_BUILDS, MODULE_BUILDS[1:]) if module else (tuple(BUILDS), tuple(DEFECTS))
     if build not in (*builds, "all"):
         raise ValueError(f"--build: expected one of {', '.join((*builds, 'all'))}, got {build!r}")
-    found = [hunt(name, span, most, workers, folder, lambda line: print(line, file=sys.stderr), module)
-             for name in (defects if build == "all" else [build])]
+    found = [
+        hunt(name, span, most, workers, folder, lambda line: print(line, file=sys.stderr), module)
+        for name in (defects if build == "all" else [build])
+    ]
     Console(width=140).print(_table(found))
     return int(any(one.build == "sound" and one.small is not None for one in found))
 
@@ -61,20 +64,49 @@
 
 
 # What both ways of playing a day tell.
-FIGURES = ("taken", "in_slo_time", "late", "shed", "failed", "left", "unreached", "forwards", "orders", "loads",
-           "service", "worst_10s", "p50_ms", "p99_ms", "rules_broken", "settled_ms")
-
-
-def run_day(day: Day, controllers: int | None, invokers: int | None, decider: str, json: bool, sockets: bool,
-            save: Path | None, at: float) -> int:
+FIGURES = (
+    "taken",
+    "in_slo_time",
+    "late",
+    "shed",
+    "failed",
+    "left",
+    "unreached",
+    "forwards",
+    "orders",
+    "loads",
+    "service",
+    "worst_10s",
+    "p50_ms",
+    "p99_ms",
+    "rules_broken",
+    "settled_ms",
+)
+
+
+def run_day(
+    day: Day,
+    controllers: int | None,
+    invokers: int | None,
+    decider: str,
+    json: bool,
+    sockets: bool,
+    save: Path | None,
+    at: float,
+) -> int:
     """Gives the exit status. Raises ValueError on what cannot be played so, StandsStill, OSError."""
     if sockets and (controllers or invokers):
         raise ValueError("--sockets: expected the script's own sizes")
     beside = _over_sockets(day, decider) if sockets else None
-    world = begun(sized(day, invokers) if invokers else day, DECIDERS[decider if decider in DECIDERS else "hiku"],
-                  controllers, GATEWAYS.get(decider, Gateway))
+    world = begun(
+        sized(day, invokers) if invokers else day,
+        DECIDERS[decider if decider in DECIDERS else "hiku"],
+        controllers,
+        GATEWAYS.get(decider, Gateway),
+    )
     if save is not None:
         from sprucespool.lab.saving import save as write_world
+
         world.run(at)
         write_world(world, save)
         print(f"{day.name}: stands at {at / 1000:.1f} s in {save}")
@@ -85,11 +117,13 @@
 def run_go_on(path: Path, json: bool) -> int:
     """Raises SavedError, OSError."""
     from sprucespool.lab.saving import load
+
     return _shown(ended(load(path)), json, None)
 
 
 def _over_sockets(day: Day, decider: str) -> dict:
     from sprucespool.standin.stage import Options, StageFailed, play
+
     try:
         return play(msgspec.structs.replace(day), Options(decider)).as_dict()
     except StageFailed as problem:
@@ -121,6 +155,8 @@
     """Raises ResultsError, OSError."""
     rows = run(plan, folder, workers, lambda line: print(line, file=sys.stderr, flush=True))
     failed = [row for row in rows if row.problem]
-    print(f"{plan.name}: {len(rows)} plays, {len(failed)} without figures, "
-          f"{sum(bool(row.broken) for row in rows)} that broke something; {folder / 'rows.parquet'}")
+    print(
+        f"{plan.name}: {len(rows)} plays, {len(failed)} without figures, "
+        f"{sum(bool(row.broken) for row in rows)} that broke something; {folder / 'rows.parquet'}"
+    )
     return int(bool(failed))
--- a/sprucespool/cli/zones.py
+++ b/sprucespool/cli/zones.py
@@ -1,4 +1,5 @@
 """`sprucespool zones`, `drain-zone`, `undrain-zone`, `failover what-if`: the plan of zones, and what operators want."""
+
 from __future__ import annotations
 
 import asyncio
@@ -43,18 +44,40 @@
 def _table(view: ZonesShown) -> Table:
     agree = sum(epoch == view.epoch for epoch in view.follows.values())
     plan = f"plan {view.digest}, renewed {view.age_ms / 1000:.1f} s ago" if view.age_ms >= 0 else "NO PLAN in force"
-    title = (f"zones as {view.me} (zone {view.zone}) follows them: {plan}: {view.why}; "
-             f"leader {view.leader or '-'} of voters {', '.join(view.voters)}; {agree} of {len(view.follows)} agree")
+    title = (
+        f"zones as {view.me} (zone {view.zone}) follows them: {plan}: {view.why}; "
+        f"leader {view.leader or '-'} of voters {', '.join(view.voters)}; {agree} of {len(view.follows)} agree"
+    )
     table = Table(title=title + (f"; left by own eyes: {', '.join(view.left)}" if view.left else ""))
-    for name in ("region", "zone", "takes now", "warm", "asked", "bound", "trust", "cap", "traffic", "bound traffic",
-                 "cells"):
+    for name in (
+        "region",
+        "zone",
+        "takes now",
+        "warm",
+        "asked",
+        "bound",
+        "trust",
+        "cap",
+        "traffic",
+        "bound traffic",
+        "cells",
+    ):
         table.add_column(name)
     for line in view.zones:
         mark = " DRAINED" if line.drained else ""
-        table.add_row(line.region, line.zone + mark, f"{line.now:.1f}", f"{line.warm:.1f}", f"{line.asked:.1f}",
-                      f"{line.bound_asked:.1f}", f"{line.trust:.2f}", f"{line.cap:.1f}" if line.cap >= 0 else "-",
-                      _row(line.free, line.zone), _row(line.bound, line.zone),
-                      ", ".join(f"{cell} {cores:.1f}" for cell, cores in line.cells.items()))
+        table.add_row(
+            line.region,
+            line.zone + mark,
+            f"{line.now:.1f}",
+            f"{line.warm:.1f}",
+            f"{line.asked:.1f}",
+            f"{line.bound_asked:.1f}",
+            f"{line.trust:.2f}",
+            f"{line.cap:.1f}" if line.cap >= 0 else "-",
+            _row(line.free, line.zone),
+            _row(line.bound, line.zone),
+            ", ".join(f"{cell} {cores:.1f}" for cell, cores in line.cells.items()),
+        )
     return table
 
 
@@ -101,6 +124,11 @@
     for name in ("zone", "cap", "traffic", "bound traffic", "shed (cores)"):
         table.add_column(name)
     for zone in sorted(answer.caps):
-        table.add_row(zone, f"{answer.caps[zone]:.1f}", _row(answer.free.get(zone, {}), zone),
-                      _row(answer.bound.get(zone, {}), zone), f"{answer.shed.get(zone, 0.0):.1f}")
+        table.add_row(
+            zone,
+            f"{answer.caps[zone]:.1f}",
+            _row(answer.free.get(zone, {}), zone),
+            _row(answer.bound.get(zone, {}), zone),
+            f"{answer.shed.get(zone, 0.0):.1f}",
+        )
     return table
--- a/sprucespool/daemon/door.py
+++ b/sprucespool/daemon/door.py
@@ -2,6 +2,7 @@
 
 Holds no decisions: it knows which connection each call and forward belongs to, and carries out the gateway's effects.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -35,6 +36,7 @@
 @dataclass(slots=True, eq=False)
 class _Client:
     """One call of a client."""
+
     id: str
     call: ServerCall
     request: bytes
@@ -50,6 +52,7 @@
 @dataclass(slots=True, eq=False)
 class _Out:
     """One forward, with the results that wait until it is known whose they are."""
+
     client: _Client
     sent: PoolCall | None = None
     invoker: str = ""
@@ -63,8 +66,14 @@
 class Door:
     """The gateway's port, and the methods that clients call."""
 
-    def __init__(self, plan: ControllerPlan, log: Any, record: BinaryIO | None = None,
-                 decider: Callable[[it.Deployment, int], Decider] = Controller, library: type[Gateway] = Gateway):
+    def __init__(
+        self,
+        plan: ControllerPlan,
+        log: Any,
+        record: BinaryIO | None = None,
+        decider: Callable[[it.Deployment, int], Decider] = Controller,
+        library: type[Gateway] = Gateway,
+    ):
         self.plan, self.log = plan, log
         self.loop = asyncio.get_running_loop()
         self.gateway = library(deployment(plan), plan.seed, self._effect, decider)
@@ -90,17 +99,34 @@
         # Which zones an inference may go to, where a plan of zones is followed.
         self.steers: FailoverCarrier | None = None
         bounds, far = plan.bounds, plan.to_invokers
-        self.far_limits = Limits(streams=far.streams, message=bounds.message, header_list=bounds.headers,
-                                 stream_window=max(65_536, bounds.stream_buffer),
-                                 link_window=16 * 2**20)
+        self.far_limits = Limits(
+            streams=far.streams,
+            message=bounds.message,
+            header_list=bounds.headers,
+            stream_window=max(65_536, bounds.stream_buffer),
+            link_window=16 * 2**20,
+        )
         self.pool_limits = PoolLimits(
-            connections=far.connections, connect_timeout=plan.forwards.connect_timeout, idle_close=far.idle_close,
-            keepalive=far.keepalive, keepalive_timeout=far.keepalive_timeout, first_backoff=far.first_backoff,
-            last_backoff=far.last_backoff, source=plan.source)
+            connections=far.connections,
+            connect_timeout=plan.forwards.connect_timeout,
+            idle_close=far.idle_close,
+            keepalive=far.keepalive,
+            keepalive_timeout=far.keepalive_timeout,
+            first_backoff=far.first_backoff,
+            last_backoff=far.last_backoff,
+            source=plan.source,
+        )
         self.about = {names.CONTROLLER: str(plan.controller.number)}
         if plan.learning is not None:
-            self.exchange = Exchange(plan.learning, plan.fleet.keep_alive, self.tell, log, self.about,
-                                     plan.seed * 17 + plan.controller.number, source=plan.source)
+            self.exchange = Exchange(
+                plan.learning,
+                plan.fleet.keep_alive,
+                self.tell,
+                log,
+                self.about,
+                plan.seed * 17 + plan.controller.number,
+                source=plan.source,
+            )
         self.look = self.loop.call_later(LOOK_EVERY, self._look)
         self.turned_away = 0
 
@@ -129,12 +155,19 @@
             names.SERVER_LIVE: _plain(lambda: oip.ServerLiveResponse(live=True)),
             names.SERVER_READY: _plain(lambda: oip.ServerReadyResponse(ready=self.ready and not self.leaving)),
             names.MODEL_READY: unary(self._model_ready),
-            names.SERVER_METADATA: _plain(lambda: oip.ServerMetadataResponse(
-                name="sprucespool", extensions=["model_repository", "streamed"])),
+            names.SERVER_METADATA: _plain(
+                lambda: oip.ServerMetadataResponse(name="sprucespool", extensions=["model_repository", "streamed"])
+            ),
             names.MODEL_METADATA: unary(self._model_metadata),
-            names.REPOSITORY_INDEX: _plain(lambda: oip.RepositoryIndexResponse(models=[
-                oip.RepositoryIndexResponse.ModelIndex(name=name, state="READY")
-                for name, model in self.gateway.models.items() if model.belief is not None])),
+            names.REPOSITORY_INDEX: _plain(
+                lambda: oip.RepositoryIndexResponse(
+                    models=[
+                        oip.RepositoryIndexResponse.ModelIndex(name=name, state="READY")
+                        for name, model in self.gateway.models.items()
+                        if model.belief is not None
+                    ]
+                )
+            ),
             names.MODEL_LOAD: _unsupported("models are loaded on demand; orders come from the controller alone"),
             names.MODEL_UNLOAD: _unsupported("models are unloaded by their invokers"),
             names.PEERS_TELL: unary(self._peer_told),
@@ -183,8 +216,16 @@
         except ValueError as problem:
             return call.finish(outcomes.MALFORMED, str(problem))
         group = self.gateway.groups[given.group]
-        client = _Client(given.call, call, data, told, streamed,
-                         names.MODEL_STREAM_INFER if group.streamed else names.MODEL_INFER, self.now(), group.name)
+        client = _Client(
+            given.call,
+            call,
+            data,
+            told,
+            streamed,
+            names.MODEL_STREAM_INFER if group.streamed else names.MODEL_INFER,
+            self.now(),
+            group.name,
+        )
         self.clients[client.id] = client
         self.held += len(data)
         if self.steers is not None:
@@ -228,12 +269,18 @@
         memory = number(names.MEMORY, facts.memory / 1e6 if facts and facts.memory else None)
         self.numbers += 1
         return ms.Call(
-            f"{self.plan.controller.number}-{self.numbers}", name, told.model,
-            min(group.route_timeout, call.timeout if call.timeout is not None else group.route_timeout), tenant,
-            number(names.COST, None), memory, max(1, int(lanes)) if lanes is not None else None,
+            f"{self.plan.controller.number}-{self.numbers}",
+            name,
+            told.model,
+            min(group.route_timeout, call.timeout if call.timeout is not None else group.route_timeout),
+            tenant,
+            number(names.COST, None),
+            memory,
+            max(1, int(lanes)) if lanes is not None else None,
             number(names.LOAD_TIME, facts.load_time if facts else None),
             call.metadata.get(names.PREVIOUS_ATTEMPTS, "0") not in ("", "0"),
-            bool(told.parameters.get(names.WRITE, False)))
+            bool(told.parameters.get(names.WRITE, False)),
+        )
 
     def _client_gone(self, client: _Client):
         if self.clients.get(client.id) is client:
@@ -244,8 +291,15 @@
         self.clients.pop(client.id, None)
         self.held -= len(client.request)
         client.request = b""
-        self.log.info("inference", id=client.told.id or client.id, call=client.id, model=client.told.model, end=how,
-                      ms=round(self.now() - client.since, 1), forwards=client.forwards)
+        self.log.info(
+            "inference",
+            id=client.told.id or client.id,
+            call=client.id,
+            model=client.told.model,
+            end=how,
+            ms=round(self.now() - client.since, 1),
+            forwards=client.forwards,
+        )
 
     # Towards invokers
 
@@ -270,8 +324,8 @@
         client.forwards.append(effect.invoker)
         metadata = {**self.about, **({names.PREVIOUS_ATTEMPTS: str(effect.attempt)} if effect.attempt else {})}
         out.sent = self.pool(effect.invoker).call(
-            client.path, metadata, effect.time_out, client.request,
-            lambda event: self._heard(effect.forward, event))
+            client.path, metadata, effect.time_out, client.request, lambda event: self._heard(effect.forward, event)
+        )
 
     def _heard(self, number: int, event: Heard):
         out = self.out.get(number)
@@ -309,9 +363,16 @@
             self.steers.ended(number, outcome, found)
         if self.exchange is not None:
             self.exchange.ended(out.invoker, out.client.told.model, outcome, found)
-        self.tell(ms.ForwardEnded(
-            number, outcome.value, found.value, outcomes.whole(trailers, names.LOAD_FAILED) == 1,
-            outcomes.whole(trailers, names.SAME_MODEL), outcomes.report(trailers)))
+        self.tell(
+            ms.ForwardEnded(
+                number,
+                outcome.value,
+                found.value,
+                outcomes.whole(trailers, names.LOAD_FAILED) == 1,
+                outcomes.whole(trailers, names.SAME_MODEL),
+                outcomes.report(trailers),
+            )
+        )
 
     def _relay(self, out: _Out, data: bytes, size: int):
         """A streamed result goes on; the invoker may send more only as the client reads."""
@@ -355,6 +416,7 @@
             owed, out.owed = out.owed, 0
             if out.sent is not None:
                 out.sent.consumed(owed)
+
         client.call.on_drained = drained
         results, out.results = out.results, []
         for data, size in results:
@@ -368,8 +430,11 @@
         if effect.whole:
             client.call.finish(Status.OK)
         else:
-            client.call.finish(outcomes.FAILED, f"the stream broke after {client.results} results",
-                               {"spruce-results": str(client.results)})
+            client.call.finish(
+                outcomes.FAILED,
+                f"the stream broke after {client.results} results",
+                {"spruce-results": str(client.results)},
+            )
         self._done(client, "returned" if effect.whole else "broken")
 
     def _shed(self, effect: ms.AnswerShed):
@@ -392,8 +457,15 @@
 
     # Orders, probes and the rest
 
-    def _ask(self, number: int, invoker: str, path: str, message: bytes, time_out: float,
-             ended: Callable[[it.Outcome, Metadata], None]):
+    def _ask(
+        self,
+        number: int,
+        invoker: str,
+        path: str,
+        message: bytes,
+        time_out: float,
+        ended: Callable[[it.Outcome, Metadata], None],
+    ):
         def heard(event: Heard):
             if isinstance(event, Message):
                 self.asked[number].consumed(event.size)
@@ -407,6 +479,7 @@
                 ended(outcomes.of_reset(event.never_ran, 0), {})
             else:
                 ended(it.Outcome.UNCONNECTED if isinstance(event, Unconnected) else it.Outcome.RESET, {})
+
         self.asked[number] = self.pool(invoker).call(path, dict(self.about), time_out, message, heard)
 
     def _order(self, effect: ms.SendOrder):
@@ -414,6 +487,7 @@
             standing = outcomes.whole(trailers, names.STANDING)
             stands = effect.copies if outcome is it.Outcome.RETURNED else 0
             self.tell(ms.OrderEnded(effect.order, outcome.value, stands if standing is None else standing))
+
         request = oip.RepositoryModelLoadRequest(model_name=effect.model)
         request.parameters[names.COPIES].int64_param = effect.copies
         self._ask(effect.order, effect.invoker, names.MODEL_LOAD, request.SerializeToString(), effect.time_out, ended)
@@ -425,15 +499,22 @@
         self._ask(-self.numbers, effect.invoker, names.MODEL_UNLOAD, message, 5000.0, lambda outcome, trailers: None)
 
     def _probe(self, effect: ms.SendProbe):
-        self._ask(effect.probe, effect.invoker, names.SERVER_LIVE, b"", effect.time_out,
-                  lambda outcome, trailers: self.tell(
-                      ms.ProbeEnded(effect.probe, outcome.value, outcomes.report(trailers))))
+        self._ask(
+            effect.probe,
+            effect.invoker,
+            names.SERVER_LIVE,
+            b"",
+            effect.time_out,
+            lambda outcome, trailers: self.tell(ms.ProbeEnded(effect.probe, outcome.value, outcomes.report(trailers))),
+        )
 
     def ask_ready(self, invoker: str) -> None:
         """For the view in common: which process stands there, if it tells."""
+
         def ended(outcome: it.Outcome, trailers: Metadata):
             if outcome is it.Outcome.RETURNED and self.eyes is not None:
                 self.eyes.probed(invoker, trailers)
+
         self.numbers += 1
         self._ask(-self.numbers, invoker, names.SERVER_READY, b"", 500.0, ended)
 
@@ -495,6 +576,7 @@
     def serve(call: ServerCall, data: bytes):
         call.send(answer().SerializeToString())
         call.finish(Status.OK)
+
     return unary(serve)
 
 
@@ -503,11 +585,21 @@
 
 
 EFFECTS: dict[type, Callable] = {
-    ms.SendForward: Door._forward, ms.Recall: Door._recall, ms.AnswerReturned: Door._returned,
-    ms.StreamBegun: Door._stream_begun, ms.StreamEnded: Door._stream_ended, ms.AnswerShed: Door._shed,
-    ms.AnswerFailed: Door._failed, ms.Rejected: Door._rejected, ms.SendOrder: Door._order,
-    ms.SendUnload: Door._unload, ms.SendProbe: Door._probe, ms.CloseIdle: Door._close_idle,
-    ms.SendMessage: Door._message, ms.WakeAt: lambda door, effect: door.turn.wake_at(effect.at), ms.Note: Door._note,
+    ms.SendForward: Door._forward,
+    ms.Recall: Door._recall,
+    ms.AnswerReturned: Door._returned,
+    ms.StreamBegun: Door._stream_begun,
+    ms.StreamEnded: Door._stream_ended,
+    ms.AnswerShed: Door._shed,
+    ms.AnswerFailed: Door._failed,
+    ms.Rejected: Door._rejected,
+    ms.SendOrder: Door._order,
+    ms.SendUnload: Door._unload,
+    ms.SendProbe: Door._probe,
+    ms.CloseIdle: Door._close_idle,
+    ms.SendMessage: Door._message,
+    ms.WakeAt: lambda door, effect: door.turn.wake_at(effect.at),
+    ms.Note: Door._note,
     ms.BeliefsGiven: Door._beliefs,
     ms.SubscribeRoster: lambda door, effect: door.subscribe(effect.active),
     ms.FetchRoster: lambda door, effect: door.fetch_roster(),
--- a/sprucespool/daemon/failover.py
+++ b/sprucespool/daemon/failover.py
@@ -1,4 +1,5 @@
 """Plans of zones on sockets: what the group's messages carry of them, where each inference may go, the view of it."""
+
 from __future__ import annotations
 
 import asyncio
@@ -59,6 +60,7 @@
 
 class ZoneShown(msgspec.Struct):
     """Figures in cores. `free`, `bound`: where the traffic that enters here goes, by zone of invokers."""
+
     zone: str
     region: str
     now: float
@@ -77,6 +79,7 @@
 class ZonesShown(msgspec.Struct):
     """`epoch` is (0, 0) where no plan is in force: then `why` says what is gone by. `digest` is equal where two follow
     the same. `follows`: the epoch that each member told last; `wanted`: zones that operators want empty."""
+
     group: str
     me: str
     start: int
@@ -97,8 +100,16 @@
 class FailoverCarrier:
     """One controller's part, wired: the fleet's view and own traffic in, zones open to each inference out."""
 
-    def __init__(self, plan: ControllerPlan, told: FailoverPlan, group: GroupCarrier, fleet: FleetCarrier, log: Any,
-                 kind: type[Failover] = Failover, steer: type[Steer] = Steer):
+    def __init__(
+        self,
+        plan: ControllerPlan,
+        told: FailoverPlan,
+        group: GroupCarrier,
+        fleet: FleetCarrier,
+        log: Any,
+        kind: type[Failover] = Failover,
+        steer: type[Steer] = Steer,
+    ):
         self.plan, self.told, self.group, self.fleet, self.log = plan, told, group, fleet, log
         self.loop = asyncio.get_running_loop()
         assert plan.group is not None
@@ -107,10 +118,14 @@
         # Who cannot read its ballot gives no vote for a while: it may have given one.
         self.file = SnapshotFile(told.keep, log, MOST_BALLOT) if told.keep else None
         self.failover = kind(
-            plan.group.member or f"controller-{plan.controller.number}", self.topology,
-            tuple(voter.member for voter in told.voters), self._read(), plan.seed * 29 + plan.controller.number,
+            plan.group.member or f"controller-{plan.controller.number}",
+            self.topology,
+            tuple(voter.member for voter in told.voters),
+            self._read(),
+            plan.seed * 29 + plan.controller.number,
             planner_limits=PlannerLimits(own_most=told.own_most, far_most=told.far_most),
-            replace_after=told.replace_after)
+            replace_after=told.replace_after,
+        )
         self.steer, self.meter = steer(self.zone, self.topology), kind.meter_kind(self.zone)
         self.spread = Spread(plan.seed * 37 + plan.controller.number)
         self.gauge = Gauge(self.topology, GaugeLimits(plan.fleet.cold_share, plan.fleet.warm_after, told.cores))
@@ -164,14 +179,16 @@
             self.failover.know_members(self._speakers())
         self._do(self.failover.tick(now))
         if self.failover.council.leads(now):
-            self._pass(self.spread.lead(now, self.failover.council.renewal(now), [
-                row.address for row in self.others()]))
+            self._pass(
+                self.spread.lead(now, self.failover.council.renewal(now), [row.address for row in self.others()])
+            )
         ways, news = self._measured(now), self.meter.news(now)
         if news is not None or ways:
             for row in self.others():
                 if row.name in self.failover.council.voters:
-                    self._send(row.address, Said(self.failover.name, self.failover.epoch, figures=news or (),
-                                                 ways=ways))
+                    self._send(
+                        row.address, Said(self.failover.name, self.failover.epoch, figures=news or (), ways=ways)
+                    )
         soon = (self.failover.due() - now) / 1000.0
         if soon < LOOK_EVERY:
             self.timer.cancel()
@@ -187,8 +204,11 @@
         self.ways_at = now + WAYS_EVERY
         self.reports.keep(row.name for row in self.others())
         if self.failover.council.votes and self.ways.weigh(row.name for row in self.others()):
-            self.log.info("failover", kind="ways", costs={f"{one} {other}": cost for (one, other), cost
-                                                          in sorted(self.topology.costs.items())})
+            self.log.info(
+                "failover",
+                kind="ways",
+                costs={f"{one} {other}": cost for (one, other), cost in sorted(self.topology.costs.items())},
+            )
         return self.ways.row()
 
     def others(self) -> list[Any]:
@@ -204,14 +224,25 @@
     def states(self) -> dict[str, ZoneState]:
         """What is known of the zones now."""
         now, fleet, member = self.now(), self.fleet.fleet, self.group.group
-        standing = [] if fleet is None else [
-            Standing(place.zone, place.size, None if place.born is None else now - place.born,
-                     bool(fleet.doubted.get(place.address)), place.cell)
-            for place in fleet.told.values() if place.status == it.Status.IN_SERVICE.value]
+        standing = (
+            []
+            if fleet is None
+            else [
+                Standing(
+                    place.zone,
+                    place.size,
+                    None if place.born is None else now - place.born,
+                    bool(fleet.doubted.get(place.address)),
+                    place.cell,
+                )
+                for place in fleet.told.values()
+                if place.status == it.Status.IN_SERVICE.value
+            ]
+        )
         loaded = [Loaded(self.zone, *self.meter.figures(now), at=now)]
         size = len(self.group.figures)
         for row in self.others() if member is not None else ():
-            told, at = self.reports.of(now, row.name, row.figures[len(FIGURES):] if len(row.figures) == size else ())
+            told, at = self.reports.of(now, row.name, row.figures[len(FIGURES) :] if len(row.figures) == size else ())
             if len(told) == len(MORE_FIGURES):
                 free, bound, did, well, soon = told
                 loaded.append(Loaded(row.about.zone, free, bound, did, well, soon, row.name, at))
@@ -281,10 +312,18 @@
         if not zone or outcome in (it.Outcome.CALLED_OFF, it.Outcome.NOT_SENT):
             return
         now = self.now()
-        self.steer.ended(now, zone, outcome in (
-            it.Outcome.RETURNED, it.Outcome.FULL, it.Outcome.MISS, it.Outcome.ERROR))
-        self.meter.ended(now, name, zone, now - since, outcome.value, found in (it.Found.WARM, it.Found.UNTOLD),
-                         self.groups[name].slo_time)
+        self.steer.ended(
+            now, zone, outcome in (it.Outcome.RETURNED, it.Outcome.FULL, it.Outcome.MISS, it.Outcome.ERROR)
+        )
+        self.meter.ended(
+            now,
+            name,
+            zone,
+            now - since,
+            outcome.value,
+            found in (it.Found.WARM, it.Found.UNTOLD),
+            self.groups[name].slo_time,
+        )
 
     # Showing
 
@@ -301,11 +340,22 @@
         lines = []
         for zone in self.topology.zones:
             state = states[zone]
-            lines.append(ZoneShown(zone, self.topology.regions[zone], state.now, state.warm, state.free, state.bound,
-                                   round(state.trust, 2), plan.caps.get(zone, -1.0), zone in plan.drained,
-                                   plan.free.get(zone, {}), plan.bound.get(zone, {}),
-                                   {cell: round(cores, 2) for cell, cores
-                                    in sorted(self.gauge.cells.get(zone, {}).items())}))
+            lines.append(
+                ZoneShown(
+                    zone,
+                    self.topology.regions[zone],
+                    state.now,
+                    state.warm,
+                    state.free,
+                    state.bound,
+                    round(state.trust, 2),
+                    plan.caps.get(zone, -1.0),
+                    zone in plan.drained,
+                    plan.free.get(zone, {}),
+                    plan.bound.get(zone, {}),
+                    {cell: round(cores, 2) for cell, cores in sorted(self.gauge.cells.get(zone, {}).items())},
+                )
+            )
         in_force = council.in_force(now)
         age = now - council.renewed_at if in_force is not None else -1.0
         leader = council.name if council.leads(now) else council.leader
@@ -314,11 +364,22 @@
         epoch = follows[council.name]
         member = self.group.group
         return ZonesShown(
-            self.group.told.name, council.name, member.start if member is not None else 0, self.zone,
-            f"{epoch[0]}.{epoch[1]}", epoch, plan.reason,
-            round(age, 1) if math.isfinite(age) else -1.0, leader, list(council.voters), failover.planner.changes,
-            sorted(failover.wanted), [zone for zone in self.topology.zones if not self.steer.open(zone)],
-            {name: follows[name] for name in sorted(live) if name in follows}, lines)
+            self.group.told.name,
+            council.name,
+            member.start if member is not None else 0,
+            self.zone,
+            f"{epoch[0]}.{epoch[1]}",
+            epoch,
+            plan.reason,
+            round(age, 1) if math.isfinite(age) else -1.0,
+            leader,
+            list(council.voters),
+            failover.planner.changes,
+            sorted(failover.wanted),
+            [zone for zone in self.topology.zones if not self.steer.open(zone)],
+            {name: follows[name] for name in sorted(live) if name in follows},
+            lines,
+        )
 
     def _drain(self, call: ServerCall, data: bytes):
         asked = parsed(call, platform.DrainZoneRequest, data)
--- a/sprucespool/daemon/fleet.py
+++ b/sprucespool/daemon/fleet.py
@@ -1,4 +1,5 @@
 """The fleet's view in common on sockets: what the group's messages carry of it, and what the module is told by it."""
+
 from __future__ import annotations
 
 import asyncio
@@ -33,6 +34,7 @@
 
 class Said(msgspec.Struct):
     """Who says what of a process. `says`: draining, gone, in service, not listed, or an opinion."""
+
     by: str
     says: str
     source: str = ""
@@ -43,6 +45,7 @@
 
 class Shown(msgspec.Struct):
     """One process of an invoker as a controller sees it. `copies` believed to stand there by its module."""
+
     address: str
     boot: str
     zone: str
@@ -57,6 +60,7 @@
 
 class FleetShown(msgspec.Struct):
     """`digest` is equal where two controllers hold the same of the same processes."""
+
     group: str
     me: str
     digest: str
@@ -71,11 +75,26 @@
 class FleetCarrier:
     """One controller's view, wired: roster and eyes in, the module's rosters and doubts out."""
 
-    def __init__(self, plan: ControllerPlan, told: FleetView, group_plan: GroupPlan, group: GroupCarrier,
-                 tell: Callable[[ms.Input], None], log: Any, kind: type[Fleet] = Fleet,
-                 wall: Callable[[], float] = time.time):
+    def __init__(
+        self,
+        plan: ControllerPlan,
+        told: FleetView,
+        group_plan: GroupPlan,
+        group: GroupCarrier,
+        tell: Callable[[ms.Input], None],
+        log: Any,
+        kind: type[Fleet] = Fleet,
+        wall: Callable[[], float] = time.time,
+    ):
         self.plan, self.told, self.group, self.tell, self.log, self.kind, self.wall = (
-            plan, told, group, tell, log, kind, wall)
+            plan,
+            told,
+            group,
+            tell,
+            log,
+            kind,
+            wall,
+        )
         self.loop = asyncio.get_running_loop()
         self.codec = Codec(group_plan.name, group_plan.mark)
         self.name = group_plan.name
@@ -99,10 +118,16 @@
         """When the group has begun."""
         member = self.group.group
         assert member is not None
-        limits = FleetLimits(OpinionLimits(self.told.observers, self.told.most_out, self.told.opinions_lapse),
-                             self.told.silent_after)
-        self.fleet = self.kind((member.me.name, member.me.start), member.me.address, self.plan.controller.zone,
-                               self.plan.seed * 23 + self.plan.controller.number, limits)
+        limits = FleetLimits(
+            OpinionLimits(self.told.observers, self.told.most_out, self.told.opinions_lapse), self.told.silent_after
+        )
+        self.fleet = self.kind(
+            (member.me.name, member.me.start),
+            member.me.address,
+            self.plan.controller.zone,
+            self.plan.seed * 23 + self.plan.controller.number,
+            limits,
+        )
         self._peers()
         if self.file is not None:
             self._restore(self.fleet)
@@ -149,8 +174,19 @@
         places, doubts, events = fleet.take()
         if places:
             now = self.now()
-            rows = [ms.Row(place.address, place.zone, place.kind, place.cell, place.status, place.size, place.boot,
-                           None if place.born is None else max(0.0, now - place.born)) for place in places]
+            rows = [
+                ms.Row(
+                    place.address,
+                    place.zone,
+                    place.kind,
+                    place.cell,
+                    place.status,
+                    place.size,
+                    place.boot,
+                    None if place.born is None else max(0.0, now - place.born),
+                )
+                for place in places
+            ]
             self.tell(ms.Roster(it.News.UPDATE.value, fleet.version, rows))
         for doubt in doubts:
             self.tell(ms.Doubted(doubt.address, doubt.ill))
@@ -163,8 +199,13 @@
     def _event(self, event: Happened):
         told = {} if event.process is None else {"invoker": event.process[0], "boot": event.process[1]}
         log = self.log.warning if event.kind in LOUD else self.log.info
-        log("fleet", kind=event.kind, **told, **({"by": event.by} if event.by else {}),
-            **({"why": event.why} if event.why else {}))
+        log(
+            "fleet",
+            kind=event.kind,
+            **told,
+            **({"by": event.by} if event.by else {}),
+            **({"why": event.why} if event.why else {}),
+        )
 
     # The group
 
@@ -200,8 +241,19 @@
             return
         if given.kind == it.News.UNAVAILABLE.value:
             return self.roster_lost()
-        rows = [Told((row.invoker, row.boot), LISTED.get(row.status, Listed.NOT), row.status == GONE, row.zone,
-                     row.kind, row.cell, row.size, row.age) for row in given.rows]
+        rows = [
+            Told(
+                (row.invoker, row.boot),
+                LISTED.get(row.status, Listed.NOT),
+                row.status == GONE,
+                row.zone,
+                row.kind,
+                row.cell,
+                row.size,
+                row.age,
+            )
+            for row in given.rows
+        ]
         fleet.roster(self.now(), given.kind != it.News.UPDATE.value, source, given.version, rows)
         self._do([])
 
@@ -252,26 +304,48 @@
     def shown(self, copies: dict[tuple[str, str], int]) -> FleetShown:
         fleet, now = self.fleet, self.now()
         assert fleet is not None
-        lines = [self._line(fleet, now, record, copies.get(process, 0))
-                 for process, record in fleet.view.records.items()]
+        lines = [
+            self._line(fleet, now, record, copies.get(process, 0)) for process, record in fleet.view.records.items()
+        ]
         lines.sort(key=lambda line: (line.zone, line.address, line.boot))
-        return FleetShown(self.name, fleet.me[0], f"{fleet.digest:016x}", fleet.source, fleet.version, fleet.live,
-                          list(fleet.panic), sorted({name for name, _ in fleet.credit.distrusted}), lines)
+        return FleetShown(
+            self.name,
+            fleet.me[0],
+            f"{fleet.digest:016x}",
+            fleet.source,
+            fleet.version,
+            fleet.live,
+            list(fleet.panic),
+            sorted({name for name, _ in fleet.credit.distrusted}),
+            lines,
+        )
 
     def _line(self, fleet: Fleet, now: float, record: Record, copies: int) -> Shown:
         where, boot = record.process
         place, listing = fleet.told.get(where), record.listing(fleet.credit.believed)
         current = place is not None and place.boot == boot
         said = [Said(who[0], word.course.name.lower(), word.source, word.version) for who, word in record.words.items()]
-        said += [Said(who[0], one.listed.name.lower().replace("_", " "), one.source, one.version)
-                 for who, one in record.listings.items()]
-        said += [Said(who[0], one.kind, "", 0, one.zone, round(now - one.at, 1))
-                 for who, one in record.opinions.items()]
+        said += [
+            Said(who[0], one.listed.name.lower().replace("_", " "), one.source, one.version)
+            for who, one in record.listings.items()
+        ]
+        said += [
+            Said(who[0], one.kind, "", 0, one.zone, round(now - one.at, 1)) for who, one in record.opinions.items()
+        ]
         status = place.status if current and place is not None else "gone"
         running = math.nan if record.born is None else now - record.born
-        return Shown(where, boot, listing.zone if listing else "", listing.kind if listing else "", status, current,
-                     -1.0 if math.isnan(running) else round(running, 1),
-                     fleet.doubted.get(where, "") if current else "", copies, said)
+        return Shown(
+            where,
+            boot,
+            listing.zone if listing else "",
+            listing.kind if listing else "",
+            status,
+            current,
+            -1.0 if math.isnan(running) else round(running, 1),
+            fleet.doubted.get(where, "") if current else "",
+            copies,
+            said,
+        )
 
     def stop(self) -> None:
         self.stopped = True
--- a/sprucespool/daemon/group.py
+++ b/sprucespool/daemon/group.py
@@ -1,4 +1,5 @@
 """The group of controllers on sockets: carries what members say, tells the module who shares, shows the view."""
+
 from __future__ import annotations
 
 import asyncio
@@ -36,6 +37,7 @@
 
 class Line(msgspec.Struct):
     """One member as a controller sees it. `age_ms`: since the last word of it that reached this controller."""
+
     name: str
     address: str
     start: int
@@ -55,6 +57,7 @@
 
 class View(msgspec.Struct):
     """`digest` is equal where two controllers see the same processes telling the same of themselves."""
+
     group: str
     me: str
     start: int
@@ -78,8 +81,15 @@
 class GroupCarrier:
     """One controller's member, wired. `tell` hands the module its facts; `on_event` is for users of the view."""
 
-    def __init__(self, plan: ControllerPlan, told: GroupPlan, tell: Callable[[ms.Input], None], log: Any,
-                 about: Metadata, kind: type[Group] = Group):
+    def __init__(
+        self,
+        plan: ControllerPlan,
+        told: GroupPlan,
+        tell: Callable[[ms.Input], None],
+        log: Any,
+        about: Metadata,
+        kind: type[Group] = Group,
+    ):
         self.plan, self.told, self.tell, self.log, self.about = plan, told, tell, log, about
         self.loop = asyncio.get_running_loop()
         self.codec = Codec(told.name, told.mark)
@@ -109,9 +119,16 @@
         place, told = self.plan.controller, self.told
         limits = GroupLimits(period=told.period, ack_within=0.3 * told.period)
         self.group = self.kind(
-            told.member or f"controller-{place.number}", told.advertise or own_address, new_start(),
-            [seed.address for seed in told.seeds], About(place.region, place.zone, place.number, place.of, BUILD),
-            self.plan.seed * 17 + place.number, limits, os.urandom(16), told.loan)
+            told.member or f"controller-{place.number}",
+            told.advertise or own_address,
+            new_start(),
+            [seed.address for seed in told.seeds],
+            About(place.region, place.zone, place.number, place.of, BUILD),
+            self.plan.seed * 17 + place.number,
+            limits,
+            os.urandom(16),
+            told.loan,
+        )
         self._tick()
 
     def _tick(self):
@@ -147,17 +164,30 @@
 
     def _event(self, event: Event):
         row = event.row
-        told = {} if row is None else {"member": row.name, "address": row.address, "start": row.start,
-                                       "zone": row.about.zone}
+        told = (
+            {}
+            if row is None
+            else {"member": row.name, "address": row.address, "start": row.start, "zone": row.about.zone}
+        )
         log = self.log.warning if event.kind in LOUD else self.log.info
-        log("member", kind=event.kind, epoch=event.epoch, **told, **({"by": event.by} if event.by else {}),
-            **({"why": event.why} if event.why else {}))
+        log(
+            "member",
+            kind=event.kind,
+            epoch=event.epoch,
+            **told,
+            **({"by": event.by} if event.by else {}),
+            **({"why": event.why} if event.why else {}),
+        )
         for hear in self.on_event:
             hear(event)
 
     def _send(self, say: Say):
-        self._post(say.to, platform.MemberMessage(message=self.codec.encode(say.message), fleet=self.ride(),
-                                                  failover=self.ride_plan()))
+        self._post(
+            say.to,
+            platform.MemberMessage(
+                message=self.codec.encode(say.message), fleet=self.ride(), failover=self.ride_plan()
+            ),
+        )
 
     def send_note(self, to: str, note: bytes) -> None:
         """Something for the user of the group there, with no message of the group's own."""
@@ -184,11 +214,24 @@
         """Raises ValueError on what is no loopback address: there is no TLS yet."""
         if where not in self.pools:
             host, port = loopback(where)
-            limits = PoolLimits(connections=1, connect_timeout=500.0, idle_close=20_000.0, keepalive=3_000.0,
-                                keepalive_timeout=3_000.0, first_backoff=20.0, last_backoff=400.0, waiting=64,
-                                source=self.plan.source)
-            self.pools[where] = Pool(host, port, Limits(message=MOST_BYTES + MOST_NOTE + 4096, streams=1000), limits,
-                                     self.plan.seed * 31 + len(self.pools))
+            limits = PoolLimits(
+                connections=1,
+                connect_timeout=500.0,
+                idle_close=20_000.0,
+                keepalive=3_000.0,
+                keepalive_timeout=3_000.0,
+                first_backoff=20.0,
+                last_backoff=400.0,
+                waiting=64,
+                source=self.plan.source,
+            )
+            self.pools[where] = Pool(
+                host,
+                port,
+                Limits(message=MOST_BYTES + MOST_NOTE + 4096, streams=1000),
+                limits,
+                self.plan.seed * 31 + len(self.pools),
+            )
         return self.pools[where]
 
     # Hearing
@@ -242,17 +285,49 @@
         gone = [self._line(one.row, now - one.since) for one in book.gone.values()]
         tally = group.tally
         members.sort(key=lambda line: (line.name, line.address))
-        return View(self.told.name, group.me.name, group.me.start, f"{group.digest:016x}", book.epoch, group.isolated,
-                    len(group.live()), group.part(), list(self.figures), members, gone,
-                    {"said": tally.said, "heard": tally.heard, "suspected": tally.suspected, "cleared": tally.cleared,
-                     "died": tally.died, "refuted": tally.refuted, "distrusted": tally.distrusted,
-                     "refused": {**tally.refused, **self.refused}})
+        return View(
+            self.told.name,
+            group.me.name,
+            group.me.start,
+            f"{group.digest:016x}",
+            book.epoch,
+            group.isolated,
+            len(group.live()),
+            group.part(),
+            list(self.figures),
+            members,
+            gone,
+            {
+                "said": tally.said,
+                "heard": tally.heard,
+                "suspected": tally.suspected,
+                "cleared": tally.cleared,
+                "died": tally.died,
+                "refuted": tally.refuted,
+                "distrusted": tally.distrusted,
+                "refused": {**tally.refused, **self.refused},
+            },
+        )
 
     def _line(self, row: Row, age: float) -> Line:
         about = row.about
-        return Line(row.name, row.address, row.start, about.region, about.zone, about.number, about.of, row.version,
-                    about.phase.name.lower(), STATES[row.state], row.incarnation, round(max(0.0, age), 1),
-                    list(row.accusers) if row.state is State.SUSPECT else [], list(row.figures), about.build)
+        return Line(
+            row.name,
+            row.address,
+            row.start,
+            about.region,
+            about.zone,
+            about.number,
+            about.of,
+            row.version,
+            about.phase.name.lower(),
+            STATES[row.state],
+            row.incarnation,
+            round(max(0.0, age), 1),
+            list(row.accusers) if row.state is State.SUSPECT else [],
+            list(row.figures),
+            about.build,
+        )
 
     # Telling
 
--- a/sprucespool/daemon/learning.py
+++ b/sprucespool/daemon/learning.py
@@ -1,4 +1,5 @@
 """Exchange of what is known between controllers, and snapshots: the I/O round `sprucespool.learning`."""
+
 from __future__ import annotations
 
 import asyncio
@@ -32,13 +33,23 @@
 class Exchange:
     """One controller's part: asks at its start, answers others, writes and reads its snapshot."""
 
-    def __init__(self, plan: Learning, keep_alive: float, tell: Callable[[ms.Input], None], log: Any, about: Metadata,
-                 seed: int, wall: Callable[[], float] = time.time, source: str = ""):
+    def __init__(
+        self,
+        plan: Learning,
+        keep_alive: float,
+        tell: Callable[[ms.Input], None],
+        log: Any,
+        about: Metadata,
+        seed: int,
+        wall: Callable[[], float] = time.time,
+        source: str = "",
+    ):
         self.source = source
         self.plan, self.tell, self.log, self.about, self.wall = plan, tell, log, about, wall
         self.loop = asyncio.get_running_loop()
-        self.newcomer = Newcomer([source.address for source in plan.sources], keep_alive,
-                                 NewcomerLimits(within=plan.within))
+        self.newcomer = Newcomer(
+            [source.address for source in plan.sources], keep_alive, NewcomerLimits(within=plan.within)
+        )
         self.teller = Teller()
         self.pools: dict[str, Pool] = {}
         self.seed = seed
@@ -123,8 +134,13 @@
         """Raises ValueError on what is no address."""
         if where not in self.pools:
             host, port = address(where)
-            self.pools[where] = Pool(host, port, Limits(message=MOST_BYTES + 4096),
-                                     PoolLimits(connections=1, connect_timeout=500.0, source=self.source), self.seed)
+            self.pools[where] = Pool(
+                host,
+                port,
+                Limits(message=MOST_BYTES + 4096),
+                PoolLimits(connections=1, connect_timeout=500.0, source=self.source),
+                self.seed,
+            )
         return self.pools[where]
 
     def _ask(self, step: Ask):
@@ -137,6 +153,7 @@
                 call.consumed(event.size)
             elif isinstance(event, ENDS):
                 self._asked(step, event, got)
+
         limit = self.newcomer.limits.page_within
         call = self._pool(step.source).call(names.LEARNING_PAGE, self.about, limit, request, heard)
         # A source that accepts and never answers.
@@ -180,8 +197,11 @@
     def given(self, effect: ms.BeliefsGiven) -> None:
         """The module's beliefs, asked for a page or for a snapshot."""
         now = self.now()
-        self.teller.made(now, ((one.invoker, one.boot, one.model, one.copies, one.lanes, one.age, one.own)
-                               for one in effect.known), self.newcomer.hops_of)
+        self.teller.made(
+            now,
+            ((one.invoker, one.boot, one.model, one.copies, one.lanes, one.age, one.own) for one in effect.known),
+            self.newcomer.hops_of,
+        )
         if self.writing and self.file is not None:
             self.writing = False
             self.file.write(self.snapshot_bytes())
--- a/sprucespool/daemon/logs.py
+++ b/sprucespool/daemon/logs.py
@@ -1,4 +1,5 @@
 """Logs: one JSON object a line."""
+
 from __future__ import annotations
 
 import logging
@@ -23,4 +24,6 @@
             lambda logger, name, entry: encoder.encode(entry).decode(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        cache_logger_on_first_use=True, **always).bind(**always)
+        cache_logger_on_first_use=True,
+        **always,
+    ).bind(**always)
--- a/sprucespool/daemon/request.py
+++ b/sprucespool/daemon/request.py
@@ -1,4 +1,5 @@
 """A protobuf request read at any of the daemon's doors."""
+
 from __future__ import annotations
 
 from typing import Any
--- a/sprucespool/daemon/roster.py
+++ b/sprucespool/daemon/roster.py
@@ -1,4 +1,5 @@
 """Where the daemon hears of invokers: a roster service over a stream, or a watched file."""
+
 from __future__ import annotations
 
 import asyncio
@@ -57,9 +58,17 @@
         self.complained = ""
         # By the file's own time: who reads the same file has the same versions.
         self.version = max(self.version + 1, about.st_mtime_ns // 1_000_000)
-        rows = [ms.Row(line.address, line.zone, line.kind, line.cell,
-                       it.Status.DRAINING.value if line.draining else it.Status.IN_SERVICE.value, line.size)
-                for line in found.invokers]
+        rows = [
+            ms.Row(
+                line.address,
+                line.zone,
+                line.kind,
+                line.cell,
+                it.Status.DRAINING.value if line.draining else it.Status.IN_SERVICE.value,
+                line.size,
+            )
+            for line in found.invokers
+        ]
         self.log.info("roster", source=self.path, version=self.version, invokers=len(rows))
         self.tell(ms.Roster(it.News.REPLACE.value, self.version, rows))
 
@@ -84,8 +93,15 @@
         self.source = ""
         self.on_lost: Callable[[], None] = lambda: None
         self.loop = asyncio.get_running_loop()
-        limits = PoolLimits(connections=1, connect_timeout=1000.0, first_backoff=20.0, last_backoff=2000.0,
-                            keepalive=2000.0, keepalive_timeout=2000.0, source=source)
+        limits = PoolLimits(
+            connections=1,
+            connect_timeout=1000.0,
+            first_backoff=20.0,
+            last_backoff=2000.0,
+            keepalive=2000.0,
+            keepalive_timeout=2000.0,
+            source=source,
+        )
         self.pool = Pool(host, port, Limits(), limits, seed)
         self.backoff = Backoff(limits, seed + 1)
         self.call: PoolCall | None = None
@@ -125,6 +141,7 @@
                 call.consumed(event.size)
             elif not isinstance(event, (Answered, Drained)) or isinstance(event, Answered) and event.status:
                 self.tell(ms.Roster(it.News.UNAVAILABLE.value))
+
         call = self.pool.call(names.ROSTER_FETCH, self.about, 5000.0, b"", heard)
 
     def _heard(self, event: Heard):
@@ -146,9 +163,19 @@
     def _news(self, data: bytes):
         try:
             news = platform.RosterNews.FromString(data)
-            rows = [ms.Row(entry.address, entry.zone, entry.machine_kind, entry.cell, STATUSES[entry.status],
-                           entry.size or 1.0, entry.boot, entry.age_ms if entry.HasField("age_ms") else None)
-                    for entry in news.entries]
+            rows = [
+                ms.Row(
+                    entry.address,
+                    entry.zone,
+                    entry.machine_kind,
+                    entry.cell,
+                    STATUSES[entry.status],
+                    entry.size or 1.0,
+                    entry.boot,
+                    entry.age_ms if entry.HasField("age_ms") else None,
+                )
+                for entry in news.entries
+            ]
             for row in rows:
                 address(row.invoker)
         except (DecodeError, KeyError, ValueError) as problem:
--- a/sprucespool/daemon/serve.py
+++ b/sprucespool/daemon/serve.py
@@ -1,4 +1,5 @@
 """One controller process, from its settings to its end."""
+
 from __future__ import annotations
 
 import asyncio
@@ -41,16 +42,30 @@
         now, shed_now = door.now(), counts.shed + door.turned_away
         self.before = now, counts.taken, shed_now, time.process_time()
         span = max(1.0, now - at) / 1000.0
-        return (round((counts.taken - taken) / span, 1), round((shed_now - shed) / span, 1), float(len(door.clients)),
-                float(door.plan.bounds.calls), round(door.turn.lag, 1), round((self.before[3] - cpu) / span, 3))
+        return (
+            round((counts.taken - taken) / span, 1),
+            round((shed_now - shed) / span, 1),
+            float(len(door.clients)),
+            float(door.plan.bounds.calls),
+            round(door.turn.lag, 1),
+            round((self.before[3] - cpu) / span, 3),
+        )
 
 
 class Daemon:
     """The wiring; `start`, then `stop`."""
 
-    def __init__(self, plan: ControllerPlan, log: Any, decider: Callable[[it.Deployment, int], Decider] = Controller,
-                 library: type[Gateway] = Gateway, member: type[Group] = Group, view: type[Fleet] = Fleet,
-                 failover: type[Failover] = Failover, steer: type[Steer] = Steer):
+    def __init__(
+        self,
+        plan: ControllerPlan,
+        log: Any,
+        decider: Callable[[it.Deployment, int], Decider] = Controller,
+        library: type[Gateway] = Gateway,
+        member: type[Group] = Group,
+        view: type[Fleet] = Fleet,
+        failover: type[Failover] = Failover,
+        steer: type[Steer] = Steer,
+    ):
         self.plan, self.log = plan, log
         self.sink = open(plan.record, "wb") if plan.record else None
         self.door = Door(plan, log, self.sink, decider, library)
@@ -61,26 +76,46 @@
             self.group.weigh = Weighing(self.door).figures
         self.fleet: FleetCarrier | None = None
         if plan.fleet_view is not None and plan.group is not None and self.group is not None:
-            self.fleet = self.door.eyes = FleetCarrier(plan, plan.fleet_view, plan.group, self.group, self._told, log,
-                                                       view)
+            self.fleet = self.door.eyes = FleetCarrier(
+                plan, plan.fleet_view, plan.group, self.group, self._told, log, view
+            )
             self.fleet.probe = self.door.ask_ready
         self.failover: FailoverCarrier | None = None
         if plan.failover is not None and self.group is not None and self.fleet is not None:
-            self.failover = self.door.steers = FailoverCarrier(plan, plan.failover, self.group, self.fleet, log,
-                                                               failover, steer)
+            self.failover = self.door.steers = FailoverCarrier(
+                plan, plan.failover, self.group, self.fleet, log, failover, steer
+            )
         bounds = plan.bounds
         self.listener = Listener(
-            {**self.door.methods(), **(self.group.methods() if self.group else {}),
-             **(self.fleet.methods() if self.fleet else {}), **(self.failover.methods() if self.failover else {})},
+            {
+                **self.door.methods(),
+                **(self.group.methods() if self.group else {}),
+                **(self.fleet.methods() if self.fleet else {}),
+                **(self.failover.methods() if self.failover else {}),
+            },
             Limits(streams=bounds.streams, header_list=bounds.headers, message=bounds.message, unsent=bounds.unsent),
-            Server(connections=bounds.connections, handshake=bounds.handshake, idle_close=bounds.idle_close,
-                   keepalive=bounds.keepalive, keepalive_timeout=bounds.keepalive_timeout, unread=bounds.unread,
-                   half_received=bounds.half_received))
+            Server(
+                connections=bounds.connections,
+                handshake=bounds.handshake,
+                idle_close=bounds.idle_close,
+                keepalive=bounds.keepalive,
+                keepalive_timeout=bounds.keepalive_timeout,
+                unread=bounds.unread,
+                half_received=bounds.half_received,
+            ),
+        )
         tell = self._roster_told
         self.roster: RosterFile | RosterWatch
         if plan.roster.watch is not None:
-            self.roster = RosterWatch(plan.roster.watch, plan.roster.asked, tell, log,
-                                      plan.seed * 31 + plan.controller.number, dict(self.door.about), plan.source)
+            self.roster = RosterWatch(
+                plan.roster.watch,
+                plan.roster.asked,
+                tell,
+                log,
+                plan.seed * 31 + plan.controller.number,
+                dict(self.door.about),
+                plan.source,
+            )
             if self.fleet is not None:
                 self.roster.on_lost = self.fleet.roster_lost
             self.door.fetch_roster = self.roster.fetch
@@ -149,9 +184,15 @@
             self.sink.close()
 
 
-async def _serve(plan: ControllerPlan, decider: Callable[[it.Deployment, int], Decider],
-                 library: type[Gateway], member: type[Group], view: type[Fleet], failover: type[Failover],
-                 steer: type[Steer]) -> int:
+async def _serve(
+    plan: ControllerPlan,
+    decider: Callable[[it.Deployment, int], Decider],
+    library: type[Gateway],
+    member: type[Group],
+    view: type[Fleet],
+    failover: type[Failover],
+    steer: type[Steer],
+) -> int:
     loop = asyncio.get_running_loop()
     log = opened(plan.log.level, plan.log.file, controller=plan.controller.number)
     daemon = Daemon(plan, log, decider, library, member, view, failover, steer)
@@ -165,6 +206,7 @@
 
     def signalled():
         (at_once if ending.is_set() else ending).set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signalled)
     log.info("listening", address=f"{plan.listen.rpartition(':')[0]}:{port}")
@@ -181,17 +223,27 @@
     hurry.cancel()
     stopping.cancel()
     daemon.close()
-    counts = {"controller": plan.controller.number, "failed_at_the_end": left, "turned_away": daemon.door.turned_away,
-              **daemon.door.gateway.counts.as_dict()}
+    counts = {
+        "controller": plan.controller.number,
+        "failed_at_the_end": left,
+        "turned_away": daemon.door.turned_away,
+        **daemon.door.gateway.counts.as_dict(),
+    }
     log.info("stopped", **counts)
     print(f"stopped {json.dumps(counts)}", flush=True)
     return 0
 
 
-def serve(plan: ControllerPlan, decider: Callable[[it.Deployment, int], Decider] = Controller,
-          library: type[Gateway] = Gateway, member: type[Group] = Group, view: type[Fleet] = Fleet,
-          failover: type[Failover] = Failover, steer: type[Steer] = Steer,
-          loop: Callable[[], asyncio.AbstractEventLoop] | None = None) -> int:
+def serve(
+    plan: ControllerPlan,
+    decider: Callable[[it.Deployment, int], Decider] = Controller,
+    library: type[Gateway] = Gateway,
+    member: type[Group] = Group,
+    view: type[Fleet] = Fleet,
+    failover: type[Failover] = Failover,
+    steer: type[Steer] = Steer,
+    loop: Callable[[], asyncio.AbstractEventLoop] | None = None,
+) -> int:
     """Run one controller until it is told to end; gives the exit status."""
     with asyncio.Runner(loop_factory=loop) as runner:
         return runner.run(_serve(plan, decider, library, member, view, failover, steer))
--- a/sprucespool/daemon/snapshots.py
+++ b/sprucespool/daemon/snapshots.py
@@ -1,4 +1,5 @@
 """Files that are written whole or not at all; what can't be read is set aside under another name, and said so once."""
+
 from __future__ import annotations
 
 import os
--- a/sprucespool/emulator/cases.py
+++ b/sprucespool/emulator/cases.py
@@ -2,6 +2,7 @@
 
 Each case is given the same world with and without notes between controllers, so that both can stand in one table.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -31,11 +32,22 @@
             rows = []
             for n, record in enumerate(known[:64]):
                 course = (Course.GONE, Course.DRAINING)[n % 2]
-                rows.append(Record(record.process, words={self.me: Word(course, self.version, self.source or "roster")},
-                                   opinions={self.me: Opinion(self.drawn + 1, "silent", self.zone, self.now)}))
+                rows.append(
+                    Record(
+                        record.process,
+                        words={self.me: Word(course, self.version, self.source or "roster")},
+                        opinions={self.me: Opinion(self.drawn + 1, "silent", self.zone, self.now)},
+                    )
+                )
             for n in range(8):
-                rows.append(Record((f"made-up-{n}", "b"), listings={
-                    self.me: Listing(self.version + 1, self.source or "roster", Listed.IN_SERVICE, self.zone)}))
+                rows.append(
+                    Record(
+                        (f"made-up-{n}", "b"),
+                        listings={
+                            self.me: Listing(self.version + 1, self.source or "roster", Listed.IN_SERVICE, self.zone)
+                        },
+                    )
+                )
             for peer in self.peers[:16]:
                 said.append(Send(peer.address, self._note("push", tuple(rows))))
         return said
@@ -129,7 +141,7 @@
 def replaced(world: FleetWorld) -> None:
     """Six in ten invokers are replaced within 7 s."""
     boxes = list(world.boxes.values())
-    some = boxes[:round(0.6 * len(boxes))]
+    some = boxes[: round(0.6 * len(boxes))]
     _every(some, 7_000 / len(some), world, lambda box: world.replace(box, 1_500.0, 1_000.0))
     world.run(14_000)
 
@@ -157,6 +169,7 @@
         box.hung = not box.hung and left > 0
         if left > 0:
             world._later(300.0, lambda: turn(left - 1))
+
     turn(60)
     world.run(20_000)
 
@@ -204,15 +217,28 @@
 
 
 CASES: dict[str, Callable[[FleetWorld], None]] = {
-    "quiet": quiet, "roster-dark": roster_dark, "pushed-to-one": pushed_to_one,
-    "drained-for-one": drained_for_one, "old-copy": old_copy, "halves": halves,
-    "liar": liar, "one-zone": one_zone, "far-drain": far_drain, "replaced": replaced, "all-restart": all_restart,
-    "flapping": flapping, "silent": silent, "dead-unlisted": dead_unlisted, "thousand": thousand}
+    "quiet": quiet,
+    "roster-dark": roster_dark,
+    "pushed-to-one": pushed_to_one,
+    "drained-for-one": drained_for_one,
+    "old-copy": old_copy,
+    "halves": halves,
+    "liar": liar,
+    "one-zone": one_zone,
+    "far-drain": far_drain,
+    "replaced": replaced,
+    "all-restart": all_restart,
+    "flapping": flapping,
+    "silent": silent,
+    "dead-unlisted": dead_unlisted,
+    "thousand": thousand,
+}
 
 
 @dataclass(slots=True)
 class Outcome:
     """`alike`: ms from the end of the last fault to equal digests. `kinds`: events by kind over all controllers."""
+
     case: str
     seed: int
     shared: bool
@@ -228,17 +254,34 @@
 
     def as_dict(self) -> dict[str, Any]:
         told = sorted(self.told)
-        return {"case": self.case, "seed": self.seed, "shared": self.shared,
-                "alike_s": None if self.alike is None else round(self.alike / 1000, 2), "late": self.late,
-                "told_p50_s": round(told[len(told) // 2] / 1000, 2) if told else None,
-                "told_last_s": round(told[-1] / 1000, 2) if told else None,
-                "broken": [f"({one.which}) {one.what}" for one in self.broken[:3]], "broken_count": len(self.broken),
-                "usable": round(self.usable, 3), "least_usable": round(self.least_usable, 3), **self.figures,
-                "kinds": self.kinds}
-
-
-def play(case: str, size: int, boxes: int, seed: int = 1, share: bool = True, rate: float = 2.0,
-         kind: type[Fleet] = Fleet, bounds: seen.FleetBounds | None = None, look: float = 500.0) -> Outcome:
+        return {
+            "case": self.case,
+            "seed": self.seed,
+            "shared": self.shared,
+            "alike_s": None if self.alike is None else round(self.alike / 1000, 2),
+            "late": self.late,
+            "told_p50_s": round(told[len(told) // 2] / 1000, 2) if told else None,
+            "told_last_s": round(told[-1] / 1000, 2) if told else None,
+            "broken": [f"({one.which}) {one.what}" for one in self.broken[:3]],
+            "broken_count": len(self.broken),
+            "usable": round(self.usable, 3),
+            "least_usable": round(self.least_usable, 3),
+            **self.figures,
+            "kinds": self.kinds,
+        }
+
+
+def play(
+    case: str,
+    size: int,
+    boxes: int,
+    seed: int = 1,
+    share: bool = True,
+    rate: float = 2.0,
+    kind: type[Fleet] = Fleet,
+    bounds: seen.FleetBounds | None = None,
+    look: float = 500.0,
+) -> Outcome:
     """One case from a settled group to equal views or 60 s after."""
     world = FleetWorld(size, boxes, seed, share, rate, kind=kind, liars=int(case == "liar"), liar=Liar)
     world.run(4_000)
@@ -261,6 +304,16 @@
     for _, event in world.moments:
         kinds[event.kind] = kinds.get(event.kind, 0) + 1
     usable = world.usable or [1.0]
-    return Outcome(case, seed, share, alike, verdict.broken, len(verdict.late), verdict.told, figures, kinds,
-                   sum(usable) / len(usable), min(usable))
-
+    return Outcome(
+        case,
+        seed,
+        share,
+        alike,
+        verdict.broken,
+        len(verdict.late),
+        verdict.told,
+        figures,
+        kinds,
+        sum(usable) / len(usable),
+        min(usable),
+    )
--- a/sprucespool/emulator/explore.py
+++ b/sprucespool/emulator/explore.py
@@ -2,6 +2,7 @@
 
 A state is reached by playing its moves from the start: objects need no copying, and a broken state comes with its way.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -25,6 +26,7 @@
 @dataclass(slots=True)
 class Explored:
     """`wrong` with the way to it, or empty; `whole`: no state within the depth was left out."""
+
     states: int
     depth: int
     whole: bool
--- a/sprucespool/emulator/fleet.py
+++ b/sprucespool/emulator/fleet.py
@@ -3,6 +3,7 @@
 The objects that run in the daemon (`Group`, `Fleet`) over links that fail. Which invoker a forward goes to is chosen
 plainly (by chance among those in service that are not doubted): what is compared is what controllers know.
 """
+
 from __future__ import annotations
 
 import itertools
@@ -28,6 +29,7 @@
 @dataclass(slots=True, eq=False)
 class Box:
     """An invoker. `down_for` nobody: refuses connections. `hung`: takes forwards and answers none."""
+
     name: str
     address: str
     zone: str
@@ -47,6 +49,7 @@
 @dataclass(slots=True)
 class Figures:
     """What forwards met, by what the invoker was at the time."""
+
     forwards: int = 0
     returned: int = 0
     refused: int = 0
@@ -64,6 +67,7 @@
 @dataclass(slots=True, eq=False)
 class _Mind:
     """What a controller goes by: places told, doubts told, and whom it set aside itself until when."""
+
     places: dict[str, Place] = field(default_factory=dict)
     doubted: set[str] = field(default_factory=set)
     aside: dict[str, float] = field(default_factory=dict)
@@ -76,10 +80,25 @@
 class FleetWorld(Virtual):
     """`share`: whether the fleets' notes are carried; without, each is alone with its roster and its own eyes."""
 
-    def __init__(self, size: int, boxes: int, seed: int = 1, share: bool = True, rate: float = 2.0, lag: float = 800.0,
-                 grace: float = 2_000.0, kind: type[Fleet] = Fleet, limits: GroupLimits | None = None,
-                 fleet_limits: FleetLimits | None = None, zones: int = 3, liars: int = 0,
-                 liar: type[Fleet] = Fleet, settled: bool = True, member: type[Group] = Group, loss: float = 0.0):
+    def __init__(
+        self,
+        size: int,
+        boxes: int,
+        seed: int = 1,
+        share: bool = True,
+        rate: float = 2.0,
+        lag: float = 800.0,
+        grace: float = 2_000.0,
+        kind: type[Fleet] = Fleet,
+        limits: GroupLimits | None = None,
+        fleet_limits: FleetLimits | None = None,
+        zones: int = 3,
+        liars: int = 0,
+        liar: type[Fleet] = Fleet,
+        settled: bool = True,
+        member: type[Group] = Group,
+        loss: float = 0.0,
+    ):
         self.kind, self.fleet_limits, self.share, self.rate = kind, fleet_limits or FleetLimits(), share, rate
         self.liars, self.liar, self.lag, self.extra, self.grace = liars, liar, lag, 0.0, grace
         self.fleets: dict[Group, Fleet] = {}
@@ -114,8 +133,15 @@
 
     # Controllers
 
-    def join(self, name: str, address: str, zone: str | None = None, seeds: list[str] | None = None, number: int = 0,
-             of: int = 1) -> Group:
+    def join(
+        self,
+        name: str,
+        address: str,
+        zone: str | None = None,
+        seeds: list[str] | None = None,
+        number: int = 0,
+        of: int = 1,
+    ) -> Group:
         one = super().join(name, address, zone, seeds, number, of)
         kind = self.liar if number < self.liars else self.kind
         fleet = kind((name, one.start), address, one.about.zone, self.seed * 7 + number, self.fleet_limits)
@@ -203,6 +229,7 @@
             def act():
                 if self.fleet_due.get(one) == due:
                     self._fleet_tick(one)
+
             self._later(due - self.now, act)
 
     def _learned(self, one: Group, places: list[Place], doubts: list[Doubt]):
@@ -223,8 +250,12 @@
         return Told((box.address, box.boot), listed, gone, box.zone, age=max(0.0, self.now - box.born))
 
     def _reaches(self, one: Group) -> bool:
-        return (self.roster_up and (self.only is None or one.name in self.only)
-                and not self.links.between("roster", one.name).cut and not self.links.between(one.name, "roster").cut)
+        return (
+            self.roster_up
+            and (self.only is None or one.name in self.only)
+            and not self.links.between("roster", one.name).cut
+            and not self.links.between(one.name, "roster").cut
+        )
 
     def publish(self, box: Box, gone: bool = False) -> None:
         """The roster hears of it at once; controllers later, by the lag."""
@@ -319,8 +350,9 @@
         for number, (one, other, _) in list(self.out.items()):
             if other is box:
                 del self.out[number]
-                self._later(self.chance.uniform(1, 25), partial(
-                    self._back, one, number, "reset", box.address, "", False, None))
+                self._later(
+                    self.chance.uniform(1, 25), partial(self._back, one, number, "reset", box.address, "", False, None)
+                )
 
     def start(self, box: Box) -> None:
         """Another process in its place."""
@@ -335,6 +367,7 @@
         def ends():
             self.down(box)
             self._later(empty, lambda: self.start(box))
+
         self._later(drain, ends)
 
     # Forwards
@@ -384,13 +417,21 @@
             self._later(5.0, lambda: self._back(one, number, "unconnected", box.address, "", False, None))
         else:
             boot, age = (box.boot, self.now - box.born) if box.tells else ("", None)
-            self._later(self.chance.uniform(40, 160), lambda: self._back(
-                one, number, "returned", box.address, boot, box.tells and box.draining, age))
+            self._later(
+                self.chance.uniform(40, 160),
+                lambda: self._back(one, number, "returned", box.address, boot, box.tells and box.draining, age),
+            )
 
     def _probed(self, one: Group, address: str):
         box = self.boxes.get(address)
-        if one in self.fleets and box is not None and box.up and box.tells and not box.hung and not (
-                self.links.between(one.name, box.name).cut):
+        if (
+            one in self.fleets
+            and box is not None
+            and box.up
+            and box.tells
+            and not box.hung
+            and not (self.links.between(one.name, box.name).cut)
+        ):
             self.fleets[one].probed(self._time(one), address, box.boot, box.draining, self.now - box.born)
             self._fleet_do(one, [])
 
@@ -414,8 +455,9 @@
     # Looking
 
     def fleet_alike(self, names: set[str] | None = None) -> bool:
-        return len({self.fleets[one].digest for name, one in self.members.items()
-                    if names is None or name in names}) == 1
+        return (
+            len({self.fleets[one].digest for name, one in self.members.items() if names is None or name in names}) == 1
+        )
 
     def look(self) -> None:
         """Note all views for the judge, and how much of the fleet they leave to choose from."""
@@ -427,8 +469,14 @@
     def note_views(self) -> None:
         for name, one in self.members.items():
             fleet = self.fleets[one]
-            self.noted.append(seen.FleetView(self.now, name, f"{fleet.digest:016x}", [
-                (place.address, place.boot, place.status) for place in fleet.told.values()]))
+            self.noted.append(
+                seen.FleetView(
+                    self.now,
+                    name,
+                    f"{fleet.digest:016x}",
+                    [(place.address, place.boot, place.status) for place in fleet.told.values()],
+                )
+            )
 
     def note_members(self) -> None:
         """How all that run see the group, for its judge."""
@@ -437,8 +485,9 @@
                 continue
             rows = [self._seen_row(held.row) for held in one.book.held.values()]
             rows.append(group_seen.SeenRow(name, one.start, "alive", one.me.incarnation, one.me.version))
-            self.group_noted.append(group_seen.SeenView(
-                self.now, name, one.start, f"{one.digest:016x}", one.part(), rows))
+            self.group_noted.append(
+                group_seen.SeenView(self.now, name, one.start, f"{one.digest:016x}", one.part(), rows)
+            )
 
     def _seen_row(self, row: Row) -> group_seen.SeenRow:
         """Once for a row, which hundreds hold: 300 members that are looked at have 90,000 between them."""
@@ -446,12 +495,23 @@
         found = self.seen_rows.get(content)
         if found is None:
             found = self.seen_rows[content] = group_seen.SeenRow(
-                row.name, row.start, row.state.name.lower(), row.incarnation, row.version)
+                row.name, row.start, row.state.name.lower(), row.incarnation, row.version
+            )
         return found
 
     def group_verdict(self, bounds: group_seen.Bounds) -> group_seen.Verdict:
-        return group_seen.check([*self.group_noted, *(one for one in self.noted if not isinstance(
-            one, seen.FleetView | seen.WasTold | seen.Reached | seen.Born))], bounds, self.now)
+        return group_seen.check(
+            [
+                *self.group_noted,
+                *(
+                    one
+                    for one in self.noted
+                    if not isinstance(one, seen.FleetView | seen.WasTold | seen.Reached | seen.Born)
+                ),
+            ],
+            bounds,
+            self.now,
+        )
 
     def looking(self, every: float) -> None:
         self.look()
--- a/sprucespool/emulator/group.py
+++ b/sprucespool/emulator/group.py
@@ -1,4 +1,5 @@
 """A group of members in virtual time: loss, delay, partitions, deaths, stalls, clocks; deterministic from its seed."""
+
 from __future__ import annotations
 
 import heapq
@@ -27,8 +28,17 @@
 class Virtual:
     """`members` by name are those that run now. `watch` sees each event with the member that had it."""
 
-    def __init__(self, size: int, seed: int = 1, zones: int = 3, loss: float = 0.0, limits: GroupLimits | None = None,
-                 seeds: int = 3, member: type[Group] = Group, settled: bool = False):
+    def __init__(
+        self,
+        size: int,
+        seed: int = 1,
+        zones: int = 3,
+        loss: float = 0.0,
+        limits: GroupLimits | None = None,
+        seeds: int = 3,
+        member: type[Group] = Group,
+        settled: bool = False,
+    ):
         self.chance, self.limits, self.member = random.Random(seed), limits or GroupLimits(), member
         self.links = Links(LinkState(1.0, 24.0, loss))
         self.now, self.number, self.seed = 0.0, itertools.count(), seed
@@ -54,16 +64,31 @@
 
     # Members
 
-    def join(self, name: str, address: str, zone: str | None = None, seeds: list[str] | None = None, number: int = 0,
-             of: int = 1) -> Group:
+    def join(
+        self,
+        name: str,
+        address: str,
+        zone: str | None = None,
+        seeds: list[str] | None = None,
+        number: int = 0,
+        of: int = 1,
+    ) -> Group:
         """A process starts, knowing nothing; on an address that was another's, if it was."""
         self.starts += 1
         old = self.by_address.get(address)
         if old is not None and self.members.get(old.name) is old:
             del self.members[old.name]
         about = About("region", zone or self.zone_of(number), number, of)
-        one = self.member(name, address, self.starts, self.seeds if seeds is None else seeds, about,
-                          self.seed * 100_003 + self.starts, self.limits, b"secret of %d" % self.starts)
+        one = self.member(
+            name,
+            address,
+            self.starts,
+            self.seeds if seeds is None else seeds,
+            about,
+            self.seed * 100_003 + self.starts,
+            self.limits,
+            b"secret of %d" % self.starts,
+        )
         self.members[name] = self.by_address[address] = one
         self.still.discard(name)
         self._later(self.chance.uniform(0, 100), lambda: self._tick(one))
@@ -132,6 +157,7 @@
         def act():
             if self.armed.get(one) == due:
                 self._tick(one)
+
         self._later(due - self.now, act)
 
     def _drain(self, one: Group):
--- a/sprucespool/emulator/hunt.py
+++ b/sprucespool/emulator/hunt.py
@@ -3,6 +3,7 @@
 The objects that run in the daemon (`Group`, `Fleet`, `Failover`, `Steer`) in virtual time, all three judges over them.
 A course is plain data; the same course and seed play the same, so a broken one is a bug report (`write`, `read`).
 """
+
 from __future__ import annotations
 
 import random
@@ -47,6 +48,7 @@
 
 class Fault(msgspec.Struct, frozen=True):
     """At `at` ms of the course's time it begins, and ends `lasts` later."""
+
     __args__ = ("kind",)
     kind: str
     at: Duration
@@ -67,6 +69,7 @@
 
 class Course(msgspec.Struct):
     """All of one play: `seed` of the world, how many stand in it, its faults. `build`: with which seeded defect."""
+
     seed: int = 1
     controllers: int = 9
     invokers: int = 18
@@ -89,6 +92,7 @@
 @dataclass(frozen=True, slots=True)
 class Build:
     """The kinds of which a world is made; a seeded defect is in one of them."""
+
     member: type[Group] = Group
     fleet: type[Fleet] = Fleet
     more: dict[str, Any] = field(default_factory=dict)
@@ -97,6 +101,7 @@
 @dataclass(slots=True)
 class Found:
     """What a course came to. `events`: how many the queue held."""
+
     course: Course
     broken: list[BrokenInvariant]
     events: int = 0
@@ -113,8 +118,19 @@
         self.parted: dict[str, list[list[str]]] = {}
         self.uneven: set[str] = set()
         self.names = {f"c{n}" for n in range(course.controllers)}
-        super().__init__(course.controllers, course.invokers, course.seed, "common", course.zones, course.regions,
-                         fleet=build.fleet, member=build.member, voters=VOTERS, replace_after=1e9, **build.more)
+        super().__init__(
+            course.controllers,
+            course.invokers,
+            course.seed,
+            "common",
+            course.zones,
+            course.regions,
+            fleet=build.fleet,
+            member=build.member,
+            voters=VOTERS,
+            replace_after=1e9,
+            **build.more,
+        )
 
     def look(self) -> None:
         super().look()
@@ -136,6 +152,7 @@
         def both(begin: Callable[[], None], end: Callable[[], None]):
             self.at(fault.at, begin)
             self.at(fault.at + fault.lasts, end)
+
         BEGINS[fault.kind](self, fault, f"{fault.kind} {number}", both)
 
     def boxes_of(self, zone: str) -> list[Box]:
@@ -153,6 +170,7 @@
     def hung(yes: bool):
         for box in world.boxes_of(fault.zone):
             box.hung = yes
+
     both(lambda: hung(True), lambda: hung(False))
 
 
@@ -161,6 +179,7 @@
         for box in world.boxes_of(fault.zone)[::2]:
             if box.up and not box.draining:
                 world.replace(box, 1_000.0, 300.0)
+
     both(begin, lambda: None)
 
 
@@ -169,6 +188,7 @@
         for box in world.boxes_of(fault.zone)[::2]:
             if box.up and not box.draining:
                 world.replace(box, fault.lasts, 300.0)
+
     both(begin, lambda: None)
 
 
@@ -188,6 +208,7 @@
         for who, (address, zone, number, of) in homes.items():
             if who not in world.members:
                 world.join(who, address, zone, None, number, of)
+
     both(begin, end if fault.kind != "gone" else lambda: None)
 
 
@@ -195,6 +216,7 @@
     def held(yes: bool):
         world.hold(fault.names, yes)
         world.changed()
+
     both(lambda: held(True), lambda: held(False))
 
 
@@ -209,6 +231,7 @@
         world.links.heal(name)
         world.parted.pop(name, None)
         world.changed()
+
     both(begin, end)
 
 
@@ -226,7 +249,9 @@
             world.links.heal(name)
             world.uneven.discard(name)
             world.changed()
+
         both(begin, end)
+
     return set_
 
 
@@ -241,6 +266,7 @@
     def end():
         world.only = None
         world.roster_down(False)
+
     both(begin, end)
 
 
@@ -249,11 +275,22 @@
 
 
 BEGINS: dict[str, Callable[[HuntWorld, Fault, str, Both], None]] = {
-    "invokers-lost": _lost, "hang": _hang, "renew": _renew, "drained": _drained, "kill": _kill, "leave": _kill,
-    "gone": _kill, "hold": _hold,
-    "part": _part, "one-way": _uneven(LinkState(cut="silent"), True),
-    "lossy": _uneven(LinkState(1.0, 24.0, 0.05), False), "slow": _uneven(LinkState(150.0, 50.0), False),
-    "roster-down": _roster, "roster-one": _roster, "rising": _rising}
+    "invokers-lost": _lost,
+    "hang": _hang,
+    "renew": _renew,
+    "drained": _drained,
+    "kill": _kill,
+    "leave": _kill,
+    "gone": _kill,
+    "hold": _hold,
+    "part": _part,
+    "one-way": _uneven(LinkState(cut="silent"), True),
+    "lossy": _uneven(LinkState(1.0, 24.0, 0.05), False),
+    "slow": _uneven(LinkState(150.0, 50.0), False),
+    "roster-down": _roster,
+    "roster-one": _roster,
+    "rising": _rising,
+}
 
 
 def drawn(seed: int, most: int = 5, build: str = "sound") -> Course:
@@ -269,8 +306,10 @@
         who = ""
         if kind in ("kill", "leave", "gone", "hold", "part", "one-way", "roster-one"):
             # Never most of the voters for good: nobody could plan, as is stated.
-            some = chance.sample(range(VOTERS if kind == "gone" else 0, course.controllers),
-                                 chance.randint(1, course.controllers // (4 if kind == "gone" else 2)))
+            some = chance.sample(
+                range(VOTERS if kind == "gone" else 0, course.controllers),
+                chance.randint(1, course.controllers // (4 if kind == "gone" else 2)),
+            )
             who = ",".join(f"c{n}" for n in sorted(some))
         faults.append(Fault(kind, at, lasts, zone, who))
     course.faults = sorted(faults, key=lambda fault: fault.at)
@@ -289,21 +328,38 @@
         at = float(round(chance.uniform(least, most), -2))
         lasts = float(round(min(chance.uniform(2_000.0, 9_000.0), LAST - at), -2))
         return Fault(kind, at, lasts, zone, ",".join(f"c{n}" for n in sorted(who or [])))
+
     if seed % 2:
         few = chance.sample(range(course.controllers), chance.randint(1, 2))
-        course.faults = [Fault("roster-one", FIRST, 16_000.0, "", ",".join(f"c{n}" for n in sorted(few))),
-                         Fault("drained", FIRST + 1_500.0, 14_000.0, zone)]
-        course.faults += [fault(chance.choice(["lossy", "slow", "renew"]), FIRST, 14_000.0, zone)
-                          for _ in range(chance.randint(0, 1))]
+        course.faults = [
+            Fault("roster-one", FIRST, 16_000.0, "", ",".join(f"c{n}" for n in sorted(few))),
+            Fault("drained", FIRST + 1_500.0, 14_000.0, zone),
+        ]
+        course.faults += [
+            fault(chance.choice(["lossy", "slow", "renew"]), FIRST, 14_000.0, zone) for _ in range(chance.randint(0, 1))
+        ]
     elif seed % 4 == 0:
         side = chance.choice([[0, 1], list(range(VOTERS, VOTERS + chance.randint(1, 4)))])
-        course.faults = [Fault("part", FIRST, 18_000.0, "", ",".join(f"c{n}" for n in side)),
-                         fault("invokers-lost", FIRST, 14_000.0, zone), fault("rising", FIRST, 14_000.0, zone)]
+        course.faults = [
+            Fault("part", FIRST, 18_000.0, "", ",".join(f"c{n}" for n in side)),
+            fault("invokers-lost", FIRST, 14_000.0, zone),
+            fault("rising", FIRST, 14_000.0, zone),
+        ]
     else:
-        course.faults = [fault(chance.choice(["part", "one-way", "hold", "kill"]), FIRST, 18_000.0, "",
-                               chance.sample(range(VOTERS), chance.randint(1, 2))) for _ in range(chance.randint(2, 5))]
-        course.faults += [fault(chance.choice(["invokers-lost", "rising"]), FIRST, 18_000.0, f"z{n}")
-                          for n in chance.sample(range(course.zones), 2)]
+        course.faults = [
+            fault(
+                chance.choice(["part", "one-way", "hold", "kill"]),
+                FIRST,
+                18_000.0,
+                "",
+                chance.sample(range(VOTERS), chance.randint(1, 2)),
+            )
+            for _ in range(chance.randint(2, 5))
+        ]
+        course.faults += [
+            fault(chance.choice(["invokers-lost", "rising"]), FIRST, 18_000.0, f"z{n}")
+            for n in chance.sample(range(course.zones), 2)
+        ]
         course.faults.append(fault("slow", FIRST, 10_000.0))
     course.faults.sort(key=lambda one: one.at)
     return course
@@ -315,8 +371,9 @@
     every, voters, found = {f"c{n}" for n in range(course.controllers)}, {f"c{n}" for n in range(VOTERS)}, []
     for fault in links:
         until = fault.at + fault.lasts
-        if fault.kind != "part" or any(other is not fault and other.at < until and fault.at < other.at + other.lasts
-                                       for other in links):
+        if fault.kind != "part" or any(
+            other is not fault and other.at < until and fault.at < other.at + other.lasts for other in links
+        ):
             continue
         for side in (fault.names, every - fault.names):
             if 2 * len(side & voters) <= VOTERS:
@@ -335,12 +392,27 @@
     group = world.group_verdict(group_seen.Bounds(30_000.0, 30_000.0, 45_000.0))
     fleet = world.verdict(fleet_seen.FleetBounds(30_000.0, 2_000.0, 8_000.0, 12_000.0))
     bounds = failover_seen.FailoverBounds(
-        world.topology.regions, 3_000.0, min((fault.at for fault in course.faults), default=world.now),
-        world.last_fault, frozenset(world.members), 0.6, 3.0, 8_000.0, 0.03, 30, 30_000.0, 0.9, 45_000.0,
-        cut_off(course))
+        world.topology.regions,
+        3_000.0,
+        min((fault.at for fault in course.faults), default=world.now),
+        world.last_fault,
+        frozenset(world.members),
+        0.6,
+        3.0,
+        8_000.0,
+        0.03,
+        30,
+        30_000.0,
+        0.9,
+        45_000.0,
+        cut_off(course),
+    )
     failover = failover_seen.check(world.views, world.reached, bounds, world.now)
-    broken = [BrokenInvariant(f"{part} {one.which}", one.at, one.what) for part, verdict in (
-        ("group", group.broken), ("fleet", fleet.broken), ("failover", failover.broken)) for one in verdict]
+    broken = [
+        BrokenInvariant(f"{part} {one.which}", one.at, one.what)
+        for part, verdict in (("group", group.broken), ("fleet", fleet.broken), ("failover", failover.broken))
+        for one in verdict
+    ]
     return Found(course, broken, next(world.number))
 
 
@@ -351,7 +423,7 @@
     while changed:
         changed = False
         for n in range(len(best.course.faults)):
-            less = msgspec.structs.replace(best.course, faults=best.course.faults[:n] + best.course.faults[n + 1:])
+            less = msgspec.structs.replace(best.course, faults=best.course.faults[:n] + best.course.faults[n + 1 :])
             tried = again(less)
             if tried.which & wanted:
                 best, changed = tried, True
--- a/sprucespool/emulator/liars.py
+++ b/sprucespool/emulator/liars.py
@@ -1,4 +1,5 @@
 """Controllers that lie, to see what it costs the others; played in virtual time and over sockets."""
+
 from __future__ import annotations
 
 from sprucespool.failover.meter import Meter
--- a/sprucespool/emulator/library.py
+++ b/sprucespool/emulator/library.py
@@ -1,4 +1,5 @@
 """The model library that all invokers fetch from: slows when crowded, turns fetches away past a limit."""
+
 from __future__ import annotations
 
 import heapq
@@ -9,6 +10,7 @@
 @dataclass(frozen=True, slots=True)
 class LibraryFacts:
     """`smooth` fetches at once run at full speed; `most` are taken at once."""
+
     smooth: int = 8
     most: int = 40
 
@@ -22,6 +24,7 @@
 @dataclass(slots=True, eq=False)
 class Library:
     """Processor sharing: with more than `smooth` fetches each gets an even part. Times in ms."""
+
     facts: LibraryFacts
     now: float = 0.0
     slow: float = 1.0
--- a/sprucespool/emulator/plans.py
+++ b/sprucespool/emulator/plans.py
@@ -8,6 +8,7 @@
 plans for itself. `common`: the plan that the council has in force. `top`: the exact solver with perfect sight, at
 once.
 """
+
 from __future__ import annotations
 
 import random
@@ -54,6 +55,7 @@
 @dataclass(slots=True)
 class Habits:
     """Of the world: `load` is the part of all warm cores that clients ask; the part of it that stays in its region."""
+
     cores: int = 2
     queue: int = 12
     run: tuple[float, float] = (80.0, 240.0)
@@ -66,6 +68,7 @@
 @dataclass(slots=True, eq=False)
 class _Part:
     """One controller's part of failover."""
+
     failover: Failover
     steer: Steer
     meter: Meter
@@ -81,6 +84,7 @@
 class Came:
     """What came of a run. `worst_10s`: the least service of ten seconds; `zones`: service by zone of clients. Times in
     ms."""
+
     decider: str
     seed: int
     asked: int
@@ -98,11 +102,24 @@
 class PlanWorld(FleetWorld):
     """`size` controllers and `boxes` invokers in `zones` zones of `regions` regions."""
 
-    def __init__(self, size: int, boxes: int, seed: int = 1, decider: str = "common", zones: int = 6, regions: int = 3,
-                 habits: Habits | None = None, kind: type[Failover] = Failover, steer: type[Steer] = Steer,
-                 limits: PlannerLimits | None = None, voters: int | tuple[str, ...] = 3,
-                 replace_after: float = 30_000.0, fleet: type[Fleet] = Fleet, group_limits: GroupLimits | None = None,
-                 **more: Any):
+    def __init__(
+        self,
+        size: int,
+        boxes: int,
+        seed: int = 1,
+        decider: str = "common",
+        zones: int = 6,
+        regions: int = 3,
+        habits: Habits | None = None,
+        kind: type[Failover] = Failover,
+        steer: type[Steer] = Steer,
+        limits: PlannerLimits | None = None,
+        voters: int | tuple[str, ...] = 3,
+        replace_after: float = 30_000.0,
+        fleet: type[Fleet] = Fleet,
+        group_limits: GroupLimits | None = None,
+        **more: Any,
+    ):
         if decider not in DECIDERS:
             raise ValueError(f"decider: expected one of {', '.join(DECIDERS)}, got {decider!r}")
         self.decider, self.habits, self.failover_kind, self.steer_kind = decider, habits or Habits(), kind, steer
@@ -139,18 +156,35 @@
         """The region of each zone."""
         return {f"z{n}": f"r{n % regions}" for n in range(zones)}
 
-    def join(self, name: str, address: str, zone: str | None = None, seeds: list[str] | None = None, number: int = 0,
-             of: int = 1) -> Group:
+    def join(
+        self,
+        name: str,
+        address: str,
+        zone: str | None = None,
+        seeds: list[str] | None = None,
+        number: int = 0,
+        of: int = 1,
+    ) -> Group:
         one = super().join(name, address, zone, seeds, number, of)
         kept = self.ballots.get(name, Ballot() if name in self.voters else None)
         where = one.about.zone
         self.parts[one] = _Part(
-            self.failover_kind(name, self.topology, self.voters, kept, self.seed * 31 + number,
-                               planner_limits=self.planner_limits, replace_after=self.replace_after),
-            self.steer_kind(where, self.topology), Meter(where), Spread(self.seed * 37 + number),
+            self.failover_kind(
+                name,
+                self.topology,
+                self.voters,
+                kept,
+                self.seed * 31 + number,
+                planner_limits=self.planner_limits,
+                replace_after=self.replace_after,
+            ),
+            self.steer_kind(where, self.topology),
+            Meter(where),
+            Spread(self.seed * 37 + number),
             Planner(self.topology, self.planner_limits),
             Gauge(self.topology, GaugeLimits(self.habits.cold_share, self.habits.warm_after)),
-            near(self.topology.zones))
+            near(self.topology.zones),
+        )
         self._later(self.chance.uniform(0, TICK), lambda: self._plan_tick(one))
         return one
 
@@ -166,8 +200,10 @@
         if self.decider != "common" or one not in self.parts:
             return wrapped
         failover = self.parts[one].failover
-        return (*wrapped, self.plan_codec.encode(Said(
-            one.name, failover.epoch, None, failover.council.renewal(self._time(one)))))
+        return (
+            *wrapped,
+            self.plan_codec.encode(Said(one.name, failover.epoch, None, failover.council.renewal(self._time(one)))),
+        )
 
     def _delivered(self, one: Group, message: Any):
         if isinstance(message, Said):
@@ -207,9 +243,16 @@
 
     def states(self, one: Group) -> dict[str, ZoneState]:
         now, fleet = self._time(one), self.fleets[one]
-        standing = [Standing(place.zone, place.size * self.habits.cores,
-                             None if place.born is None else now - place.born, place.address in fleet.doubted)
-                    for place in fleet.told.values() if place.status == "in service"]
+        standing = [
+            Standing(
+                place.zone,
+                place.size * self.habits.cores,
+                None if place.born is None else now - place.born,
+                place.address in fleet.doubted,
+            )
+            for place in fleet.told.values()
+            if place.status == "in service"
+        ]
         loaded = [Loaded(one.about.zone, *self.parts[one].meter.figures(now), at=now)]
         part = self.parts[one]
         for row in one.live():
@@ -245,8 +288,12 @@
                     self.post(one.name, self.members[voter].address, Said(one.name, (0, 0), figures=news))
             self._plan_do(one, part.failover.tick(now))
             if council.leads(now):
-                self._pass(one, part.spread.lead(now, council.renewal(now), [
-                    row.address for row in one.live() if row.seat != one.me.seat]))
+                self._pass(
+                    one,
+                    part.spread.lead(
+                        now, council.renewal(now), [row.address for row in one.live() if row.seat != one.me.seat]
+                    ),
+                )
 
     def _see_all(self):
         """Perfect sight, for `top`."""
@@ -264,8 +311,9 @@
         self.sight = {}
         for zone in self.topology.zones:
             asked = alive.get(zone, 0) * self.rate * self.grown.get(zone, 1.0) * mean
-            self.sight[zone] = ZoneState(zone, cores[zone], cores[zone], asked * (1 - self.habits.stays),
-                                         asked * self.habits.stays)
+            self.sight[zone] = ZoneState(
+                zone, cores[zone], cores[zone], asked * (1 - self.habits.stays), asked * self.habits.stays
+            )
         free, bound, caps, _ = Planner(self.topology, self.planner_limits).target(self.sight)
         plan = Plan((1, 1), free, bound, caps)
         for part in self.parts.values():
@@ -274,8 +322,11 @@
     def _zones(self, one: Group, bound: bool) -> tuple[str, ...]:
         part, now = self.parts[one], self._time(one)
         if self.decider == "today":
-            return tuple(self.topology.zones) if not bound else tuple(
-                zone for zone in self.topology.zones if self.topology.same_region(zone, one.about.zone))
+            return (
+                tuple(self.topology.zones)
+                if not bound
+                else tuple(zone for zone in self.topology.zones if self.topology.same_region(zone, one.about.zone))
+            )
         plan = part.failover.follow(now) if self.decider == "common" else part.plan
         return part.steer.zones(now, plan, bound, 1.0)
 
@@ -297,8 +348,12 @@
         if one not in self.minds:
             return
         home, own = one.about.zone, self.parts[one].own
-        usable = [place for place in self._usable(one) if place.zone in (
-            zones if nth or self.decider == "today" else zones[:1]) and self.fulls.get(place.address, 0.0) <= self.now]
+        usable = [
+            place
+            for place in self._usable(one)
+            if place.zone in (zones if nth or self.decider == "today" else zones[:1])
+            and self.fulls.get(place.address, 0.0) <= self.now
+        ]
         if not usable or nth > 1 or self.now - since > SLO:
             self.shed += not usable
             return self.asked.append((since, home, False))
@@ -323,8 +378,17 @@
         grown = min(1.0, max(0.0, self.now - box.born) / self.habits.warm_after)
         return (self.habits.cold_share + (1 - self.habits.cold_share) * grown) / self.slowed.get(box.zone, 1.0)
 
-    def _at_box(self, one: Group, number: int, box: Box, bound: bool, work: float, nth: int, way: float,
-                then: Callable[[str, float], None]):
+    def _at_box(
+        self,
+        one: Group,
+        number: int,
+        box: Box,
+        bound: bool,
+        work: float,
+        nth: int,
+        way: float,
+        then: Callable[[str, float], None],
+    ):
         if number not in self.out:
             return then("reset", 0.0)
         if self.links.between(one.name, box.name).cut or self.links.between(box.name, one.name).cut or box.hung:
@@ -346,8 +410,19 @@
             self.queues[box.address] = deque(sorted(ends))
         self._later(done - self.now + way, lambda: then("returned", done - self.now))
 
-    def _ended(self, one: Group, number: int, place: Place, bound: bool, work: float, since: float, nth: int,
-               zones: tuple[str, ...], outcome: str, ran: float):
+    def _ended(
+        self,
+        one: Group,
+        number: int,
+        place: Place,
+        bound: bool,
+        work: float,
+        since: float,
+        nth: int,
+        zones: tuple[str, ...],
+        outcome: str,
+        ran: float,
+    ):
         if number in self.out:
             del self.out[number]
         elif outcome == "returned":
@@ -370,24 +445,28 @@
         else:
             gap = mind.gap[place.address] = min(8_000.0, 2 * mind.gap.get(place.address, 500.0))
             mind.aside[place.address] = self.now + gap
-        self.fleets[one].ended(now, number, outcome, *((box.boot, box.draining, self.now - box.born)
-                                                       if well else ("", False, None)))
+        self.fleets[one].ended(
+            now, number, outcome, *((box.boot, box.draining, self.now - box.born) if well else ("", False, None))
+        )
         self._fleet_do(one, [])
         part.steer.ended(now, place.zone, well or outcome == "full")
         part.meter.ended(now, GROUP, place.zone, self.now - since, "returned" if well else "timed out", True, SLO)
         if well:
             return self.asked.append((since, one.about.zone, self.now - since <= SLO))
         # What is turned away as full stays in its zone: those that the plan names next are no overflow.
-        self._try(one, zones[:1] if outcome == "full" and self.decider != "today" else zones, bound, work, since,
-                  nth + 1)
+        self._try(
+            one, zones[:1] if outcome == "full" and self.decider != "today" else zones, bound, work, since, nth + 1
+        )
 
     # Faults
 
     def at(self, when: float, act: Callable[[], None]) -> None:
         """A fault, or its end, at `when` of the world's time."""
+
         def happen():
             act()
             self.last_fault = self.now
+
         self.first_fault = min(self.first_fault, when)
         self._later(when - self.now, happen)
 
@@ -418,16 +497,24 @@
             part, now = self.parts[one], self._time(one)
             plan = part.failover.council.in_force(now) if self.decider == "common" else None
             if plan is not None:
-                self.views.append(judged.PlanView(self.now, name, one.start, plan.epoch, str((
-                    plan.free, plan.bound, plan.caps)), plan.caps))
+                self.views.append(
+                    judged.PlanView(
+                        self.now, name, one.start, plan.epoch, str((plan.free, plan.bound, plan.caps)), plan.caps
+                    )
+                )
             else:
                 self.views.append(judged.PlanView(self.now, name, one.start, (0, 0), ""))
 
     def came(self, bounds: judged.FailoverBounds | None = None) -> Came:
         begin = 3_000.0
-        told = replace(bounds or judged.FailoverBounds(),
-                       regions=self.topology.regions, calm_from=begin, calm_until=min(self.first_fault, self.now),
-                       last_fault=self.last_fault, live=frozenset(self.members))
+        told = replace(
+            bounds or judged.FailoverBounds(),
+            regions=self.topology.regions,
+            calm_from=begin,
+            calm_until=min(self.first_fault, self.now),
+            last_fault=self.last_fault,
+            live=frozenset(self.members),
+        )
         verdict = judged.check(self.views if self.decider == "common" else [], self.reached, told, self.now)
         broken = [one for one in verdict.broken if self.decider == "common" or one.which == "d"]
         asked = [one for one in self.asked if one[0] >= begin]
@@ -437,13 +524,24 @@
             for found in (span[int(at / 1000.0)], by_zone[zone]):
                 found[0] += good
                 found[1] += 1
-        tens = [(sum(one[0] for one in span[n:n + 10]), sum(one[1] for one in span[n:n + 10]))
-                for n in range(int(begin / 1000.0), len(span) - 11)]
-        return Came(self.decider, self.seed, len(asked), sum(good for *_, good in asked) / max(1, len(asked)),
-                    min((good / of for good, of in tens if of), default=1.0), self.shed / max(1, len(asked)),
-                    verdict.crossed, {zone: round(good / max(1, of), 4) for zone, (good, of) in by_zone.items()},
-                    verdict.settled, verdict.near, verdict.plans,
-                    [f"({one.which}) {one.what}" for one in broken])
+        tens = [
+            (sum(one[0] for one in span[n : n + 10]), sum(one[1] for one in span[n : n + 10]))
+            for n in range(int(begin / 1000.0), len(span) - 11)
+        ]
+        return Came(
+            self.decider,
+            self.seed,
+            len(asked),
+            sum(good for *_, good in asked) / max(1, len(asked)),
+            min((good / of for good, of in tens if of), default=1.0),
+            self.shed / max(1, len(asked)),
+            verdict.crossed,
+            {zone: round(good / max(1, of), 4) for zone, (good, of) in by_zone.items()},
+            verdict.settled,
+            verdict.near,
+            verdict.plans,
+            [f"({one.which}) {one.what}" for one in broken],
+        )
 
 
 def zone_lost(world: PlanWorld, span: float = 30_000.0) -> None:
@@ -464,6 +562,7 @@
 
 def grey(world: PlanWorld) -> None:
     """Ten times slower, and half of what runs there hangs; health is fine."""
+
     def on():
         world.slowed["z0"] = 10.0
         for n, box in enumerate(one for one in world.boxes.values() if one.zone == "z0"):
@@ -473,14 +572,17 @@
         world.slowed.pop("z0")
         for box in world.boxes.values():
             box.hung = False
+
     world.at(10_000.0, on)
     world.at(40_000.0, off)
 
 
 def rising(world: PlanWorld) -> None:
     """Load rises to 1.2 of what is left while a zone is lost."""
+
     def more(factor: float):
         world.grown.update(dict.fromkeys(world.topology.zones, factor))
+
     zone_lost(world)
     world.at(15_000.0, lambda: more(1.2 / world.habits.load * (1 - 1 / len(world.topology.zones))))
     world.at(30_000.0, lambda: more(1.0))
@@ -489,6 +591,7 @@
 def makers_lost(world: PlanWorld) -> None:
     """The controllers that made the plan die as a zone is lost; another zone a second later; they come back."""
     zone_lost(world)
+
     def die():
         for name in ("c0", "c1"):
             world.kill(name)
@@ -496,6 +599,7 @@
     def come_back():
         for n in (0, 1):
             world.join(f"c{n}", f"a{n}", f"z{n}", number=n, of=len(world.members) + 1)
+
     world.at(10_500.0, die)
     world.at(11_000.0, lambda: world.lose({"z1"}))
     world.at(25_000.0, come_back)
@@ -511,8 +615,10 @@
 
 def halves(world: PlanWorld) -> None:
     """Both sides think that the other is gone; a zone is lost meanwhile, the roster dark."""
+
     def side(n: int) -> set[str]:
         return {name for name, one in world.members.items() if int(one.about.zone[1:]) % 2 == n}
+
     world.at(10_000.0, lambda: world.part([side(0), side(1)]))
     world.at(11_000.0, lambda: world.roster_down())
     world.at(12_000.0, lambda: world.lose({"z1"}))
@@ -529,8 +635,10 @@
 
 def voters_lost(world: PlanWorld) -> None:
     """Two of three voters die for good, one long after the other; then a zone is lost."""
+
     def die(name: str):
         world.kill(name)
+
     world.at(10_000.0, partial(die, "c0"))
     world.at(35_000.0, partial(die, "c1"))
     world.at(50_000.0, lambda: world.lose({"z3"}))
@@ -539,22 +647,43 @@
 
 def liar(world: PlanWorld) -> None:
     """One says that its zone is asked a million cores, and that home answers nothing."""
+
     def lie():
         one = world.members["c6"]
         world.parts[one].meter = LyingMeter(one.about.zone)
+
     world.at(8_000.0, lie)
     zone_lost(world)
 
 
 CASES: dict[str, Callable[[PlanWorld], None]] = {
-    "quiet": lambda world: None, "zone lost 5 s": lambda world: zone_lost(world, 5_000.0), "zone lost 30 s": zone_lost,
-    "region lost": region_lost, "flapping": flapping, "grey zone": grey, "load to 1.2 of what is left": rising,
-    "makers lost": makers_lost, "makers held": makers_held, "halves": halves, "clocks": clocks, "liar": liar,
-    "voters lost": voters_lost}
-
-
-def play(case: str, decider: str, seed: int = 1, size: int = 60, boxes: int = 36, span: float = 75_000.0,
-         every: float = 1_000.0, bounds: judged.FailoverBounds | None = None, **more: Any) -> Came:
+    "quiet": lambda world: None,
+    "zone lost 5 s": lambda world: zone_lost(world, 5_000.0),
+    "zone lost 30 s": zone_lost,
+    "region lost": region_lost,
+    "flapping": flapping,
+    "grey zone": grey,
+    "load to 1.2 of what is left": rising,
+    "makers lost": makers_lost,
+    "makers held": makers_held,
+    "halves": halves,
+    "clocks": clocks,
+    "liar": liar,
+    "voters lost": voters_lost,
+}
+
+
+def play(
+    case: str,
+    decider: str,
+    seed: int = 1,
+    size: int = 60,
+    boxes: int = 36,
+    span: float = 75_000.0,
+    every: float = 1_000.0,
+    bounds: judged.FailoverBounds | None = None,
+    **more: Any,
+) -> Came:
     world = PlanWorld(size, boxes, seed, decider, **more)
     world.looking(every)
     CASES[case](world)
--- a/sprucespool/emulator/solo.py
+++ b/sprucespool/emulator/solo.py
@@ -3,6 +3,7 @@
 Enough to drive the decisions at sizes that no one machine shows over sockets. The rest of a tier of controllers is
 only told of (`deployment.controllers`); traffic is this controller's own.
 """
+
 from __future__ import annotations
 
 import bisect
@@ -25,6 +26,7 @@
 @dataclass(slots=True)
 class Troubled:
     """At `at` ms `what` befalls the invokers numbered `which` (crash, hang, crawl, replace, drain), for `lasts`."""
+
     at: float
     what: str
     which: list[int]
@@ -35,6 +37,7 @@
 @dataclass(slots=True)
 class SoloPlan:
     """The size of a day. `rate` is inferences a second at this controller; ms else."""
+
     invokers: int = 30
     models: int = 100
     rate: float = 100.0
@@ -60,6 +63,7 @@
 @dataclass(slots=True, eq=False)
 class _Place:
     """An invoker's process, or the next one at its address."""
+
     address: str
     row: ms.Row
     worker: wk.Worker
@@ -88,9 +92,13 @@
 class Solo:
     """Run with `run()`. `on_batch(now, inputs)` sees what the gateway takes, before it does."""
 
-    def __init__(self, deployment: it.Deployment, plan: SoloPlan,
-                 decider: Callable[[it.Deployment, int], Decider] = Controller,
-                 on_batch: Callable[[float, list[ms.Input]], None] | None = None):
+    def __init__(
+        self,
+        deployment: it.Deployment,
+        plan: SoloPlan,
+        decider: Callable[[it.Deployment, int], Decider] = Controller,
+        on_batch: Callable[[float, list[ms.Input]], None] | None = None,
+    ):
         self.plan, self.deployment, self.on_batch = plan, deployment, on_batch
         self.now, self.number = 0.0, itertools.count()
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
@@ -165,11 +173,24 @@
             tenants = self.deployment.tenants
             tenant = tenants[int(self.chance.random() * len(tenants))].name if tenants else ""
             self.sent[name] = self.now
-            self._tell(ms.Call(name, group.name, model, ttl, tenant, None, plan.memory, plan.lanes, 600.0,
-                               self.chance.random() < plan.repeats))
+            self._tell(
+                ms.Call(
+                    name,
+                    group.name,
+                    model,
+                    ttl,
+                    tenant,
+                    None,
+                    plan.memory,
+                    plan.lanes,
+                    600.0,
+                    self.chance.random() < plan.repeats,
+                )
+            )
             if self.chance.random() < plan.leaves:
                 self.at(self.now + ttl * 0.3, lambda: self._tell(ms.Left(name)) if name in self.sent else None)
             self._arrival()
+
         self.at(self.now + gap, arrive)
 
     def _answered(self, call: str, how: str):
@@ -231,8 +252,14 @@
         plan = self.plan
         kind = number % plan.kinds
         facts = replace(plan.facts, speed=1.0 if kind == 0 else 0.6)
-        row = ms.Row(f"w{number}:1", f"zone-{number % plan.zones}", f"kind-{kind}", f"cell-{number % 4}",
-                     size=float(facts.cores), boot=f"{number}.1")
+        row = ms.Row(
+            f"w{number}:1",
+            f"zone-{number % plan.zones}",
+            f"kind-{kind}",
+            f"cell-{number % 4}",
+            size=float(facts.cores),
+            boot=f"{number}.1",
+        )
         return _Place(row.invoker, row, wk.Worker(facts, _AnyModel(info), 0.0, cold=False))
 
     def _after(self, place: _Place):
@@ -322,8 +349,16 @@
         place.boots += 1
         place.up, place.looked_for = True, float("inf")
         place.worker = wk.Worker(place.worker.facts, place.worker.catalog, self.now)
-        place.row = ms.Row(place.row.invoker, place.row.zone, place.row.kind, place.row.cell, "in service",
-                           place.row.size, f"{place.row.invoker}.{place.boots}", 0.0)
+        place.row = ms.Row(
+            place.row.invoker,
+            place.row.zone,
+            place.row.kind,
+            place.row.cell,
+            "in service",
+            place.row.size,
+            f"{place.row.invoker}.{place.boots}",
+            0.0,
+        )
         self._listed(place.row)
 
     def _listed(self, row: ms.Row):
@@ -333,8 +368,17 @@
         place = self.places[which % len(self.places)]
         if trouble.what in ("crash", "replace"):
             if trouble.what == "replace":
-                self._listed(ms.Row(place.address, place.row.zone, place.row.kind, place.row.cell, "draining",
-                                    place.row.size, place.row.boot))
+                self._listed(
+                    ms.Row(
+                        place.address,
+                        place.row.zone,
+                        place.row.kind,
+                        place.row.cell,
+                        "draining",
+                        place.row.size,
+                        place.row.boot,
+                    )
+                )
             self.at(self.now + (800.0 if trouble.what == "replace" else 0.0), lambda: self._down(place))
             self.at(self.now + trouble.lasts, lambda: self._up(place))
         elif trouble.what == "hang":
--- a/sprucespool/emulator/worker.py
+++ b/sprucespool/emulator/worker.py
@@ -3,6 +3,7 @@
 Each method takes the time (ms) and leaves what follows in `acts`; `next_due` says when to call `look`. Work is timed,
 not burnt.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -14,6 +15,7 @@
 @dataclass(frozen=True, slots=True)
 class ModelInfo:
     """What a copy takes: memory, lanes, the part of a load that is no fetch (ms)."""
+
     memory: float
     lanes: int
     start: float
@@ -23,6 +25,7 @@
 @dataclass(frozen=True, slots=True)
 class WorkerFacts:
     """Memory in MB, times in ms. `queue` and `load_queue` bound what waits."""
+
     memory: float = 8000.0
     cores: int = 3
     speed: float = 1.0
@@ -44,6 +47,7 @@
 @dataclass(slots=True, eq=False)
 class Job:
     """An inference at the worker; `work` is ms on a core of speed 1. `tag` is the owner's."""
+
     tag: object
     model: str
     work: float
@@ -73,6 +77,7 @@
 @dataclass(slots=True, eq=False)
 class Ask:
     """An order: settled when `copies` stand, or when it is clear that they will not."""
+
     tag: object
     model: str
     copies: int
@@ -80,6 +85,7 @@
 
 # Acts
 
+
 @dataclass(slots=True)
 class Finished:
     job: Job
@@ -88,6 +94,7 @@
 @dataclass(slots=True)
 class Refused:
     """Rejected unseen: it never ran."""
+
     job: Job
     why: str
 
@@ -95,6 +102,7 @@
 @dataclass(slots=True)
 class Missed:
     """The model is not here and does not come: it never ran."""
+
     job: Job
     load_failed: bool
 
@@ -114,6 +122,7 @@
 @dataclass(slots=True)
 class Fell:
     """Pushed over while cold: it is down for good."""
+
     sent: float
     allowed: float
 
@@ -197,8 +206,9 @@
             return
         if self.draining or len(self.queue) >= self.facts.queue or info is None:
             self.tally.refused += 1
-            self.acts.append(Refused(job, "draining" if self.draining else
-                                     "queue full" if info else "no such model in the library"))
+            self.acts.append(
+                Refused(job, "draining" if self.draining else "queue full" if info else "no such model in the library")
+            )
             return
         if not self.copies.get(job.model):
             waits = any(load.model == job.model for load in self.loading)
@@ -289,8 +299,10 @@
     def _make_room(self, now: float, memory: float, model: str) -> bool:
         # A copy that somebody waits for is not idle: it would be loaded again at once.
         wanted = {job.model for job in self.queue}
-        idle = sorted((copy for copies in self.copies.values() for copy in copies
-                       if not copy.busy and copy.model not in wanted), key=lambda copy: copy.idle_since)
+        idle = sorted(
+            (copy for copies in self.copies.values() for copy in copies if not copy.busy and copy.model not in wanted),
+            key=lambda copy: copy.idle_since,
+        )
         free = self.facts.memory - self.used()
         for copy in idle:
             if free >= memory:
@@ -338,8 +350,13 @@
         due = min(self.running[0][0] if self.running else math.inf, self.starting[0][0] if self.starting else math.inf)
         # A copy that somebody waits for does not expire, so its time is nothing to come back for.
         wanted = {job.model for job in self.queue}
-        idle = [copy.idle_since for model, copies in self.copies.items() if model not in wanted
-                for copy in copies if not copy.busy]
+        idle = [
+            copy.idle_since
+            for model, copies in self.copies.items()
+            if model not in wanted
+            for copy in copies
+            if not copy.busy
+        ]
         due = min(due, min(idle) + self.facts.keep_alive if idle else math.inf)
         return max(due, self.still_until) if due < math.inf else due
 
@@ -380,8 +397,11 @@
                 break
             if job.model in waiting:
                 continue
-            free = [copy for copy in self.copies.get(job.model, []) if copy.busy < copy.info.lanes
-                    and copy.idle_since > -math.inf]
+            free = [
+                copy
+                for copy in self.copies.get(job.model, [])
+                if copy.busy < copy.info.lanes and copy.idle_since > -math.inf
+            ]
             if not free:
                 waiting.add(job.model)
                 continue
--- a/sprucespool/failover/__init__.py
+++ b/sprucespool/failover/__init__.py
@@ -3,6 +3,7 @@
 `Gauge` and `Meter` say what is known of the zones, `Planner` makes plans from it, `Council` has one of them in force,
 `Spread` takes it to all, `Steer` has each inference go by it. `daemon/failover.py` carries it.
 """
+
 from sprucespool.failover.codec import Codec, Said, SaidError, ballot, kept
 from sprucespool.failover.council import Ballot, Council, CouncilLimits, Keep, Renewal, Seats, Tell, Word
 from sprucespool.failover.failover import Failover, Turned
@@ -17,8 +18,47 @@
 from sprucespool.failover.topology import Topology
 from sprucespool.failover.ways import Ways
 
-__all__ = ["Asked", "Ballot", "Codec", "Council", "CouncilLimits", "Failover", "Gauge", "GaugeLimits", "Keep",
-           "Loaded", "Meter", "Pass", "Placed", "Plan", "Planner", "PlannerLimits", "Renewal", "Reports",
-           "Said", "SaidError", "Seating", "Seats", "Sifter", "Spread", "Standing", "Steer", "SteerLimits", "Tell",
-           "Topology", "Turned", "Ways", "Word", "ZoneState", "ballot", "carries", "distance", "faults", "kept",
-           "near", "place", "rounded", "safe"]
+__all__ = [
+    "Asked",
+    "Ballot",
+    "Codec",
+    "Council",
+    "CouncilLimits",
+    "Failover",
+    "Gauge",
+    "GaugeLimits",
+    "Keep",
+    "Loaded",
+    "Meter",
+    "Pass",
+    "Placed",
+    "Plan",
+    "Planner",
+    "PlannerLimits",
+    "Renewal",
+    "Reports",
+    "Said",
+    "SaidError",
+    "Seating",
+    "Seats",
+    "Sifter",
+    "Spread",
+    "Standing",
+    "Steer",
+    "SteerLimits",
+    "Tell",
+    "Topology",
+    "Turned",
+    "Ways",
+    "Word",
+    "ZoneState",
+    "ballot",
+    "carries",
+    "distance",
+    "faults",
+    "kept",
+    "near",
+    "place",
+    "rounded",
+    "safe",
+]
--- a/sprucespool/failover/codec.py
+++ b/sprucespool/failover/codec.py
@@ -3,6 +3,7 @@
 
 What is no word of this group, or out of bounds, is refused with what was expected.
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -28,6 +29,7 @@
 @dataclass(frozen=True, slots=True)
 class Said:
     """One message: a word of the council, or the plan in force, to be told on. `epoch` is what its sender follows."""
+
     sender: str
     epoch: tuple[int, int]
     word: Word | None = None
@@ -80,8 +82,9 @@
 
 
 def _plan_out(plan: Plan | None) -> _Plan | None:
-    return None if plan is None else _Plan(plan.epoch, plan.free, plan.bound, plan.caps, plan.reason,
-                                           list(plan.drained))
+    return (
+        None if plan is None else _Plan(plan.epoch, plan.free, plan.bound, plan.caps, plan.reason, list(plan.drained))
+    )
 
 
 def _bounded(good: bool, expected: str):
@@ -98,10 +101,17 @@
         return None
     _counts(*told.epoch)
     rows = [*told.free.values(), *told.bound.values(), told.caps]
-    _bounded(len(told.free) <= MOST_ZONES and len(told.bound) <= MOST_ZONES and len(told.drained) <= MOST_ZONES
-             and all(len(row) <= MOST_ZONES for row in rows), f"{MOST_ZONES} zones at the most")
-    _bounded(len(told.reason) <= 1_000 and all(len(name) <= LONGEST for row in rows for name in row),
-             f"names of up to {LONGEST} characters")
+    _bounded(
+        len(told.free) <= MOST_ZONES
+        and len(told.bound) <= MOST_ZONES
+        and len(told.drained) <= MOST_ZONES
+        and all(len(row) <= MOST_ZONES for row in rows),
+        f"{MOST_ZONES} zones at the most",
+    )
+    _bounded(
+        len(told.reason) <= 1_000 and all(len(name) <= LONGEST for row in rows for name in row),
+        f"names of up to {LONGEST} characters",
+    )
     return Plan(told.epoch, told.free, told.bound, told.caps, told.reason, tuple(told.drained))
 
 
@@ -112,8 +122,12 @@
 def _seats_in(told: _Seats) -> Seats:
     _counts(*told.epoch)
     # One more than ever is in office, for a while.
-    _bounded(len(told.voters) <= MOST_VOTERS + 1 and len(set(told.voters)) == len(told.voters)
-             and all(0 < len(name) <= LONGEST for name in told.voters), f"up to {MOST_VOTERS} different voters")
+    _bounded(
+        len(told.voters) <= MOST_VOTERS + 1
+        and len(set(told.voters)) == len(told.voters)
+        and all(0 < len(name) <= LONGEST for name in told.voters),
+        f"up to {MOST_VOTERS} different voters",
+    )
     return Seats(told.epoch, tuple(told.voters))
 
 
@@ -129,12 +143,27 @@
     def encode(self, said: Said) -> bytes:
         word, renewal = said.word, said.renewal
         wire = _Wire(
-            said.sender, said.epoch,
-            None if word is None else _Word(word.kind, word.term, word.number, _plan_out(word.plan), word.decided,
-                                            word.renewed, _seats_out(word.seats)),
-            None if renewal is None else _plan_out(renewal.plan), 0 if renewal is None else renewal.renewed,
-            0.0 if renewal is None else renewal.age, list(said.pass_on), list(said.figures), said.ways,
-            _seats_out(Seats() if renewal is None else renewal.seats))
+            said.sender,
+            said.epoch,
+            None
+            if word is None
+            else _Word(
+                word.kind,
+                word.term,
+                word.number,
+                _plan_out(word.plan),
+                word.decided,
+                word.renewed,
+                _seats_out(word.seats),
+            ),
+            None if renewal is None else _plan_out(renewal.plan),
+            0 if renewal is None else renewal.renewed,
+            0.0 if renewal is None else renewal.age,
+            list(said.pass_on),
+            list(said.figures),
+            said.ways,
+            _seats_out(Seats() if renewal is None else renewal.seats),
+        )
         data = _ENCODER.encode(wire)
         return self._seal(data) + data
 
@@ -151,17 +180,28 @@
         _bounded(0 < len(wire.sender) <= LONGEST and len(wire.pass_on) <= MOST_ON, "a sender and a short list")
         _bounded(0.0 <= wire.age < 1e9, "an age in ms")
         _bounded(len(wire.figures) <= 8 and all(-1.0 <= one < 1e9 for one in wire.figures), "a few figures")
-        _bounded(len(wire.ways) <= MOST_ZONES and all(len(name) <= LONGEST for name in wire.ways)
-                 and all(0.0 <= one < 1e6 for one in wire.ways.values()), "ways to a few zones, ms")
+        _bounded(
+            len(wire.ways) <= MOST_ZONES
+            and all(len(name) <= LONGEST for name in wire.ways)
+            and all(0.0 <= one < 1e6 for one in wire.ways.values()),
+            "ways to a few zones, ms",
+        )
         word, plan = None, _plan_in(wire.plan)
         if wire.word is not None:
             told = wire.word
             _counts(told.term, told.number, told.renewed, *told.decided)
-            word = Word(told.kind, wire.sender, told.term, told.number, _plan_in(told.plan), told.decided, told.renewed,
-                        _seats_in(told.seats))
+            word = Word(
+                told.kind,
+                wire.sender,
+                told.term,
+                told.number,
+                _plan_in(told.plan),
+                told.decided,
+                told.renewed,
+                _seats_in(told.seats),
+            )
         renewal = None if plan is None else Renewal(plan, wire.renewed, wire.age, _seats_in(wire.seats))
-        return Said(wire.sender, wire.epoch, word, renewal, tuple(wire.pass_on), tuple(wire.figures),
-                    wire.ways)
+        return Said(wire.sender, wire.epoch, word, renewal, tuple(wire.pass_on), tuple(wire.figures), wire.ways)
 
 
 def kept(ballot: Ballot) -> bytes:
--- a/sprucespool/failover/council.py
+++ b/sprucespool/failover/council.py
@@ -17,6 +17,7 @@
 `heard` for each message; `propose` at the leader. Effects come back in order: `Keep` must be on disk before what
 follows it is sent.
 """
+
 from __future__ import annotations
 
 import math
@@ -33,6 +34,7 @@
 @dataclass(frozen=True, slots=True)
 class Seats:
     """Who has a vote, as stated in an epoch; the files' set is of (0, 0)."""
+
     epoch: tuple[int, int] = (0, 0)
     voters: tuple[str, ...] = ()
 
@@ -45,6 +47,7 @@
 class Ballot:
     """What a voter must never forget: the highest term it knows, whom it gave its vote in it, who has a vote. Without
     voters: those of the files."""
+
     term: int = 0
     voted: str = NOBODY
     seats: Seats = Seats()
@@ -55,6 +58,7 @@
     """Between voters. `may`: would you elect me in this term; `might`: yes; `vote`, `voted`: the same in earnest;
     `beat`: I lead, this is my plan; `held`: I hold it. `number` joins a held to its beat. `seats` as the sender knows
     them."""
+
     kind: Kind
     sender: str
     term: int
@@ -83,6 +87,7 @@
 @dataclass(frozen=True, slots=True)
 class Renewal:
     """Rides to all controllers: the plan in force and how often it was renewed; `age` of the renewal in ms."""
+
     plan: Plan
     renewed: int
     age: float
@@ -92,6 +97,7 @@
 @dataclass(frozen=True, slots=True)
 class CouncilLimits:
     """Times in ms. `drift`: how much faster one clock may run than another."""
+
     beat: float = 500.0
     least_wait: float = 1_500.0
     most_wait: float = 3_000.0
@@ -107,6 +113,7 @@
 class Council:
     """One controller's part; `voters` are names: at first the files', then those in office. Who is not among them only
     follows. `kept`: what was on disk, None where nothing was."""
+
     name: str
     voters: tuple[str, ...]
     seed: int = 1
@@ -214,8 +221,10 @@
     def _stand(self, now: float) -> list[Effect]:
         self.role, self.yes = "candidate", {self.name}
         self._keep(replace(self.ballot, term=self.ballot.term + 1, voted=self.name))
-        effects: list[Effect] = [Keep(self.ballot), *self._to_others(
-            Word("vote", self.name, self.ballot.term, seats=self.seats))]
+        effects: list[Effect] = [
+            Keep(self.ballot),
+            *self._to_others(Word("vote", self.name, self.ballot.term, seats=self.seats)),
+        ]
         return effects + (self._lead(now) if len(self.yes) >= self.majority else [])
 
     def _lead(self, now: float) -> list[Effect]:
@@ -235,8 +244,12 @@
         """At the leader: these are to have a vote, one more or one less than now. Nothing happens elsewhere, or while
         most do not yet hold the set before."""
         self.now = now = max(self.now, now)
-        if self.role != "leader" or self.seated != self.seats.epoch or self.name not in voters or len(
-                set(voters) ^ set(self.voters)) != 1:
+        if (
+            self.role != "leader"
+            or self.seated != self.seats.epoch
+            or self.name not in voters
+            or len(set(voters) ^ set(self.voters)) != 1
+        ):
             return []
         term, number = self.seats.epoch
         self._keep(replace(self.ballot, seats=Seats((term, number + 1), tuple(sorted(voters)))))
@@ -278,9 +291,18 @@
         self.answers[self.number] = {self.name}
         for old in [number for number in self.beats if number <= self.number - 32]:
             del self.beats[old], self.answers[old]
-        effects = self._to_others(Word("beat", self.name, self.ballot.term, self.number, self.plan,
-                                       self.decided.epoch if self.decided is not None else (0, 0), self.renewed,
-                                       self.seats))
+        effects = self._to_others(
+            Word(
+                "beat",
+                self.name,
+                self.ballot.term,
+                self.number,
+                self.plan,
+                self.decided.epoch if self.decided is not None else (0, 0),
+                self.renewed,
+                self.seats,
+            )
+        )
         self._counted(self.number)
         return effects
 
@@ -349,16 +371,24 @@
         return now - self.heard_at >= self.limits.lease * (1 + self.limits.drift) and not self.leads(now)
 
     def _would(self, now: float, word: Word) -> list[Effect]:
-        if word.term > self.ballot.term and word.seats.epoch >= self.seats.epoch and self._quiet(
-                now) and self._may_vote(now):
+        if (
+            word.term > self.ballot.term
+            and word.seats.epoch >= self.seats.epoch
+            and self._quiet(now)
+            and self._may_vote(now)
+        ):
             return [Tell(word.sender, Word("might", self.name, word.term))]
         return []
 
     def _elect(self, now: float, word: Word) -> list[Effect]:
         if word.seats.epoch < self.seats.epoch:
             return []  # a set of voters that it does not know may have been agreed on
-        if not self._may_vote(now) or not self._quiet(now) or word.term <= self.ballot.term and not (
-                word.term == self.ballot.term and self.ballot.voted in (NOBODY, word.sender)):
+        if (
+            not self._may_vote(now)
+            or not self._quiet(now)
+            or word.term <= self.ballot.term
+            and not (word.term == self.ballot.term and self.ballot.voted in (NOBODY, word.sender))
+        ):
             return []
         if self.role != "follower":
             self._step_down(now)
--- a/sprucespool/failover/failover.py
+++ b/sprucespool/failover/failover.py
@@ -3,6 +3,7 @@
 Feed `know` whenever the view of the zones changed, `heard` for each word, `rode` for what rides on others' messages,
 and call `tick` when `due` has come. `follow` is what to go by at any moment: nobody waits for a decision.
 """
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -23,6 +24,7 @@
 class Turned:
     """`kind`: follows (a decided plan), alone (no word of any: the safe one), leads, led, refused (a told plan), seats
     (others have a vote)."""
+
     kind: str
     at: float
     epoch: tuple[int, int]
@@ -87,7 +89,8 @@
         more = sum(shed.values()) - sum(before.values())
         if more > 1e-6:
             return f"{more:.1f} of the load would have to be shed: " + ", ".join(
-                f"{amount:.1f} of {zone}" for zone, amount in sorted(shed.items()))
+                f"{amount:.1f} of {zone}" for zone, amount in sorted(shed.items())
+            )
         self.planner.drained = zones
         return ""
 
@@ -139,8 +142,11 @@
         epoch = followed.epoch if followed is not None else (0, 0)
         if epoch != self.epoch:
             self.epoch = epoch
-            self._event("follows" if followed is not None else "alone", epoch,
-                        followed.reason if followed is not None else "no word of a plan")
+            self._event(
+                "follows" if followed is not None else "alone",
+                epoch,
+                followed.reason if followed is not None else "no word of a plan",
+            )
         return effects
 
     def _event(self, kind: str, epoch: tuple[int, int], why: str = ""):
--- a/sprucespool/failover/gauge.py
+++ b/sprucespool/failover/gauge.py
@@ -3,6 +3,7 @@
 Capacity comes from the fleet's view alone (who serves, how large, how long already, who is doubted): a controller has
 no word in it, so none can lie about it. Load is each controller's own word, bounded by what its zone could carry.
 """
+
 from __future__ import annotations
 
 import math
@@ -19,6 +20,7 @@
 @dataclass(frozen=True, slots=True)
 class Standing:
     """An invoker that serves. `age`: ms it runs, None where nobody told; `ill`: others cannot reach it."""
+
     zone: str
     size: float
     age: float | None = None
@@ -31,6 +33,7 @@
     """A controller's word: cores asked by what enters at it, cores that its own zone did for it, the parts of what it
     sent there that came back, and that came in SLO time (-1: not known). `at`: when it said so, None where that is not
     known."""
+
     zone: str
     free: float
     bound: float
@@ -44,6 +47,7 @@
 @dataclass(frozen=True, slots=True)
 class GaugeLimits:
     """Times in ms."""
+
     cold_share: float = 0.25
     warm_after: float = 15_000.0
     # Cores that a unit of a roster's size stands for.
@@ -78,6 +82,7 @@
 class Reports:
     """The figures of each member: told directly of late, or else by its row in the group. Among 300 a row's word is
     half a minute old when it comes: taken for newer than what was told directly, it hid most of the load."""
+
     most: int = 4_096
     # ms that what was told directly counts: two tellings may be missed.
     fresh: float = 12_000.0
@@ -101,6 +106,7 @@
 @dataclass(slots=True, eq=False)
 class Gauge:
     """Keeps how far each zone is believed; all else follows from what it is handed."""
+
     topology: Topology
     limits: GaugeLimits = field(default_factory=GaugeLimits)
     trust: dict[str, float] = field(default_factory=dict)
@@ -119,8 +125,9 @@
     # By member: zone, cores asked, when that was told last.
     last: dict[str, tuple[str, float, float]] = field(default_factory=dict)
 
-    def states(self, now: float, standing: Iterable[Standing], loaded: Iterable[Loaded],
-               plan: Plan | None = None) -> dict[str, ZoneState]:
+    def states(
+        self, now: float, standing: Iterable[Standing], loaded: Iterable[Loaded], plan: Plan | None = None
+    ) -> dict[str, ZoneState]:
         """The state of each zone of the topology; what stands in no known zone counts nowhere. `plan`: in force."""
         limits, zones = self.limits, self.topology.zones
         takes, warm = dict.fromkeys(zones, 0.0), dict.fromkeys(zones, 0.0)
@@ -170,8 +177,16 @@
             elif name not in heard_of:
                 takes[zone] -= min(cores, takes[zone])
         self._even(now, free, bound)
-        states = {zone: ZoneState(zone, round(takes[zone], 3), round(warm[zone], 3), round(self.asked[zone][0], 3),
-                                  round(self.asked[zone][1], 3)) for zone in zones}
+        states = {
+            zone: ZoneState(
+                zone,
+                round(takes[zone], 3),
+                round(warm[zone], 3),
+                round(self.asked[zone][0], 3),
+                round(self.asked[zone][1], 3),
+            )
+            for zone in zones
+        }
         carried = carries(states, plan) if plan is not None else {}
         for zone in zones:
             # The middle one's word: a single controller that lies or is ill itself makes no zone grey.
--- a/sprucespool/failover/meter.py
+++ b/sprucespool/failover/meter.py
@@ -2,6 +2,7 @@
 
 Load is in cores busy: inferences a second times how long one runs when nothing waits before it.
 """
+
 from __future__ import annotations
 
 import math
@@ -12,6 +13,7 @@
 @dataclass(slots=True)
 class Meter:
     """`zone` is the controller's own; times in ms."""
+
     zone: str
     window: float = 2_000.0
     # Of run times the part that lies under what is counted: queues only lengthen, so a low one is nearest to the work.
@@ -53,15 +55,23 @@
         if zone != self.zone or outcome == "miss":
             return
         returned = outcome == "returned"
-        self._ends.append((now, returned and elapsed <= slo, returned, self.runs.get(group, 0.0) if returned else 0.0,
-                           returned and not warm))
+        self._ends.append(
+            (
+                now,
+                returned and elapsed <= slo,
+                returned,
+                self.runs.get(group, 0.0) if returned else 0.0,
+                returned and not warm,
+            )
+        )
         self._forget(now)
         if returned and warm and group in self.runs and (elapsed <= self.runs[group] or self._calm()):
             usual, self.seen[group] = self.runs[group], self.seen.get(group, 0) + 1
             # In long strides at first, as the guess may be far off.
             step = max(self.step, 0.5 / self.seen[group])
-            self.runs[group] = max(1.0, usual * (1.0 + step * (
-                self.quantile if elapsed > usual else self.quantile - 1.0)))
+            self.runs[group] = max(
+                1.0, usual * (1.0 + step * (self.quantile if elapsed > usual else self.quantile - 1.0))
+            )
 
     def _calm(self) -> bool:
         """Against work that seems to grow while queues do: the more were shed for it, the more would seem to be asked.
@@ -71,8 +81,11 @@
     def _forget(self, now: float):
         while self._came and self._came[0][0] < now - self.window:
             self._came.popleft()
-        while self._ends and (self._ends[0][0] < now - self.ends_for
-                              or len(self._ends) > self.ends and self._ends[0][0] < now - self.window):
+        while self._ends and (
+            self._ends[0][0] < now - self.ends_for
+            or len(self._ends) > self.ends
+            and self._ends[0][0] < now - self.window
+        ):
             self._ends.popleft()
 
     def figures(self, now: float) -> tuple[float, float, float, float, float]:
@@ -85,11 +98,16 @@
             asked[bound] += self.runs[group]
         did = sum(work for at, _, _, work, _ in self._ends if at >= now - self.window) / self.window
         well, soon = self._home()
-        return (round(asked[0] / self.window, 2), round(asked[1] / self.window, 2), round(did, 2), round(well, 2),
-                round(soon, 2))
+        return (
+            round(asked[0] / self.window, 2),
+            round(asked[1] / self.window, 2),
+            round(did, 2),
+            round(well, 2),
+            round(soon, 2),
+        )
 
     def _home(self) -> tuple[float, float]:
-        newest = list(self._ends)[-self.ends:]
+        newest = list(self._ends)[-self.ends :]
         back = sum(one[2] for one in newest)
         loading = sum(one[4] for one in newest)
         # While most of what comes back met a load, what does not come back waited for one: nothing is known of health.
