--- a/sprucespool/failover/plan.py
+++ b/sprucespool/failover/plan.py
@@ -2,6 +2,7 @@
 
 Plain data with an epoch, a reason and an end. Parts of a zone sum to 1 at the most; what is missing is shed near.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
@@ -16,6 +17,7 @@
 class Plan:
     """`free` and `bound`: shares by zone of clients, then of invokers; `bound` is for what must stay in its region.
     `caps`: what a zone may take, in the unit of load. `epoch` (term, number) orders plans; `term` 0 is nobody's."""
+
     epoch: tuple[int, int]
     free: Shares
     bound: Shares
@@ -66,7 +68,8 @@
                 wrong.append(f"{name} {zone}: parts from 0 to 1 and a sum of 1 at the most were expected")
             wrong += [f"{name} {zone}: no zone {to!r} is known" for to in (zone, *row) if to not in topology.regions]
             if name == "bound":
-                wrong += [f"bound {zone}: {to} lies in another region" for to in row
-                          if not topology.same_region(zone, to)]
+                wrong += [
+                    f"bound {zone}: {to} lies in another region" for to in row if not topology.same_region(zone, to)
+                ]
     wrong += [f"cap {zone}: expected 0 or more" for zone, cap in plan.caps.items() if not 0 <= cap < 1e12]
     return wrong
--- a/sprucespool/failover/planner.py
+++ b/sprucespool/failover/planner.py
@@ -4,6 +4,7 @@
 better one is not better by `worth`; what goes back to a recovered zone goes in steps bound to its warm capacity;
 and a bucket of changes bounds them under any input, of which the last few are kept for what is urgent.
 """
+
 from __future__ import annotations
 
 import math
@@ -19,6 +20,7 @@
 class ZoneState:
     """Of one zone as far as is known, in one unit of load (cores busy). `now`: what its invokers can take at this
     moment, `warm`: when all that run are warm. `free`, `bound`: what clients ask that enter here."""
+
     zone: str
     now: float
     warm: float
@@ -31,6 +33,7 @@
 @dataclass(frozen=True, slots=True)
 class PlannerLimits:
     """Times in ms."""
+
     # The part of a zone's capacity that its own traffic may take, and that others' may fill it to.
     own_most: float = 0.85
     far_most: float = 0.85
@@ -51,6 +54,7 @@
 @dataclass(slots=True, eq=False)
 class Planner:
     """Call `next` with the states and the time; gives a plan to be decided, or None to leave things as they are."""
+
     topology: Topology
     limits: PlannerLimits = field(default_factory=PlannerLimits)
     tokens: float = math.inf
@@ -101,10 +105,13 @@
                     all_of[way] = all_of.get(way, 0.0) + amount
                     room[way[1]] -= amount
                     held[way[1]] += amount
-            left = {zone: Asked(
-                asked.free - sum(amount for (one, _), amount in found.free.items() if one == zone),
-                asked.bound - sum(amount for (one, _), amount in found.bound.items() if one == zone))
-                for zone, asked in left.items()}
+            left = {
+                zone: Asked(
+                    asked.free - sum(amount for (one, _), amount in found.free.items() if one == zone),
+                    asked.bound - sum(amount for (one, _), amount in found.bound.items() if one == zone),
+                )
+                for zone, asked in left.items()
+            }
         levelled = Placed(free, bound, found.shed)
         return levelled if sum(found.shed.values()) <= sum(whole.shed.values()) + 1e-6 else whole
 
@@ -129,8 +136,9 @@
         self.changed_at = now
         self.changes += 1
         reason = self._reason(states, plan, over, shed, drains)
-        return replace(plan, free=wanted[0], bound=wanted[1], caps=caps, reason=reason,
-                       drained=tuple(sorted(self.drained)))
+        return replace(
+            plan, free=wanted[0], bound=wanted[1], caps=caps, reason=reason, drained=tuple(sorted(self.drained))
+        )
 
     def _fill(self, now: float):
         gained = max(0.0, now - self.filled_at) / self.limits.refill
@@ -143,8 +151,15 @@
         takes = {zone: state.now * state.trust for zone, state in states.items() if zone not in self.drained}
         return [zone for zone in self.topology.zones if load[zone] > 1e-6 and load[zone] > takes.get(zone, 0.0)]
 
-    def _stepped(self, now: float, states: Mapping[str, ZoneState], plan: Plan, wanted: Shares, over: list[str],
-                 bound: bool = False) -> Shares:
+    def _stepped(
+        self,
+        now: float,
+        states: Mapping[str, ZoneState],
+        plan: Plan,
+        wanted: Shares,
+        over: list[str],
+        bound: bool = False,
+    ) -> Shares:
         """What leaves a zone that is over its capacity leaves at once; what goes back home goes in steps."""
         held = plan.bound if bound else plan.free
         found: Shares = {}
@@ -170,8 +185,9 @@
             found[zone] = row
         return rounded(found)
 
-    def _reason(self, states: Mapping[str, ZoneState], plan: Plan, over: list[str], shed: Mapping[str, float],
-                drains: bool) -> str:
+    def _reason(
+        self, states: Mapping[str, ZoneState], plan: Plan, over: list[str], shed: Mapping[str, float], drains: bool
+    ) -> str:
         parts = []
         if drains:
             parts.append(f"drained: {', '.join(sorted(self.drained)) or 'none'}")
@@ -224,8 +240,11 @@
         if state is None or asked <= 0.0 or asked <= state.now:
             free[zone] = {zone: 1.0}
             continue
-        room = {to: max(0.0, states[to].now * most - states[to].free - states[to].bound) for to in topology.zones
-                if to != zone and to in states and topology.same_region(zone, to)}
+        room = {
+            to: max(0.0, states[to].now * most - states[to].free - states[to].bound)
+            for to in topology.zones
+            if to != zone and to in states and topology.same_region(zone, to)
+        }
         spill = min(asked - state.now, part * sum(room.values()))
         row = {to: spill / asked * there / sum(room.values()) for to, there in room.items() if there > 0}
         # A zone with nothing left keeps nothing; one that has too little keeps all that goes nowhere else.
--- a/sprucespool/failover/seating.py
+++ b/sprucespool/failover/seating.py
@@ -4,6 +4,7 @@
 as many as the files name. Whoever comes next stands where fewest voters stand, by region and zone, so that no lost
 region takes the majority with it.
 """
+
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
@@ -19,6 +20,7 @@
 class Seating:
     """`size`: as many as the files name. `absent`: ms that a voter must be gone; `every`: ms between two changes. All
     voters `watch`, so that who leads next does not begin to count anew."""
+
     topology: Topology
     size: int
     absent: float = 30_000.0
@@ -63,6 +65,7 @@
         if gone:
             return tuple(name for name in voters if name != gone[0])
         others = [name for name in voters if name != me]
-        out = max(others, key=lambda name: (
-            self._crowd(places[name], [one for one in voters if one != name], places), name))
+        out = max(
+            others, key=lambda name: (self._crowd(places[name], [one for one in voters if one != name], places), name)
+        )
         return tuple(name for name in voters if name != out)
--- a/sprucespool/failover/solver.py
+++ b/sprucespool/failover/solver.py
@@ -4,6 +4,7 @@
 what must stay in its region only there), then at the least cost, by shortest augmenting paths over the residual
 network (a dozen zones: some hundred steps). What fits nowhere is left where it entered, told as shed.
 """
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -17,6 +18,7 @@
 @dataclass(frozen=True, slots=True)
 class Asked:
     """What enters a zone, in the unit that caps count in. `bound`: the part of it that must not leave the region."""
+
     free: float = 0.0
     bound: float = 0.0
 
@@ -24,6 +26,7 @@
 @dataclass(frozen=True, slots=True)
 class Placed:
     """`free` and `bound`: by (zone of clients, zone of invokers). `shed`: what fits nowhere, by zone of clients."""
+
     free: dict[tuple[str, str], float]
     bound: dict[tuple[str, str], float]
     shed: dict[str, float]
@@ -35,8 +38,12 @@
     sources = [(zone, kind) for zone in sorted(asked) for kind in kinds if _amount(asked[zone], kind) > LEAST]
     left = {source: _amount(asked[source[0]], source[1]) for source in sources}
     room = {zone: caps[zone] for zone in sorted(caps) if caps[zone] > LEAST}
-    costs = {(source, zone): topology.cost(source[0], zone) for source in sources for zone in room
-             if source[1] == "free" or topology.same_region(source[0], zone)}
+    costs = {
+        (source, zone): topology.cost(source[0], zone)
+        for source in sources
+        for zone in room
+        if source[1] == "free" or topology.same_region(source[0], zone)
+    }
     flow: dict[tuple[tuple[str, str], str], float] = {}
     while True:
         found = _path(left, room, costs, flow)
@@ -69,12 +76,17 @@
 Step = tuple[Source, str, bool]
 
 
-def _path(left: dict[Source, float], room: dict[str, float], costs: dict[tuple[Source, str], float],
-          flow: dict[tuple[Source, str], float]) -> tuple[list[Step], float] | None:
+def _path(
+    left: dict[Source, float],
+    room: dict[str, float],
+    costs: dict[tuple[Source, str], float],
+    flow: dict[tuple[Source, str], float],
+) -> tuple[list[Step], float] | None:
     """The cheapest way on which more can be placed, and how much: from a source with something left, over zones that
     give some of theirs to another, to a zone with room. Bellman-Ford, as residual costs may be negative."""
     at_source: dict[Source, tuple[float, list[Step]]] = {
-        source: (0.0, []) for source, amount in left.items() if amount > LEAST}
+        source: (0.0, []) for source, amount in left.items() if amount > LEAST
+    }
     at_zone: dict[str, tuple[float, list[Step]]] = {}
     for _ in range(2 * (len(left) + len(room))):
         changed = False
@@ -84,7 +96,7 @@
                 if zone not in at_zone or so_far + cost < at_zone[zone][0] - LEAST:
                     at_zone[zone] = so_far + cost, [*way, (source, zone, True)]
                     changed = True
-        for (source, zone) in flow:
+        for source, zone in flow:
             if zone in at_zone:
                 so_far, way = at_zone[zone]
                 back = so_far - costs[source, zone]
--- a/sprucespool/failover/spread.py
+++ b/sprucespool/failover/spread.py
@@ -3,6 +3,7 @@
 Messages of the group alone would do, but slowly: at 300 members the last one hears after many periods, and whoever
 hears no renewal for long goes by the safe plan.
 """
+
 from __future__ import annotations
 
 import math
@@ -16,6 +17,7 @@
 @dataclass(frozen=True, slots=True)
 class Pass:
     """Tell `renewal` at an address, which tells it on to `pass_on`."""
+
     to: str
     renewal: Renewal
     pass_on: tuple[str, ...] = ()
@@ -24,6 +26,7 @@
 @dataclass(slots=True, eq=False)
 class Spread:
     """`every`: ms between renewals told to all; a new plan is told at once."""
+
     seed: int = 1
     every: float = 2_000.0
     epoch: tuple[int, int] = (0, 0)
@@ -41,7 +44,7 @@
             other = zlib.crc32(b"%d:%d" % (self.seed, self.drawn)) % (place + 1)
             addresses[place], addresses[other] = addresses[other], addresses[place]
         heads = math.ceil(math.sqrt(len(addresses)))
-        return [Pass(addresses[n], renewal, tuple(addresses[heads + n::heads])) for n in range(heads)]
+        return [Pass(addresses[n], renewal, tuple(addresses[heads + n :: heads])) for n in range(heads)]
 
     @staticmethod
     def on(renewal: Renewal, pass_on: Sequence[str]) -> list[Pass]:
--- a/sprucespool/failover/steer.py
+++ b/sprucespool/failover/steer.py
@@ -4,6 +4,7 @@
 one more or less. Own evidence outranks the plan: a zone that answers nothing is left at once and tried now and then.
 What the plan has no room for is shed here, near and early, the least valued first.
 """
+
 from __future__ import annotations
 
 import math
@@ -17,6 +18,7 @@
 @dataclass(frozen=True, slots=True)
 class SteerLimits:
     """Times in ms."""
+
     # So many forwards in a row without an answer, over so long at least: the zone is left.
     bad: int = 6
     bad_for: float = 150.0
@@ -29,6 +31,7 @@
 @dataclass(slots=True)
 class _Seen:
     """Own evidence of a zone."""
+
     bad: int = 0
     since: float = 0.0
     out: bool = False
@@ -39,6 +42,7 @@
 @dataclass(slots=True)
 class Sifter:
     """Sheds a part of what comes, the least valued first: all under a value, and of that value what is missing."""
+
     memory: float = 200.0
     weights: dict[float, float] = field(default_factory=dict)
     debt: float = 0.0
@@ -70,6 +74,7 @@
 @dataclass(slots=True, eq=False)
 class Steer:
     """One controller's. `serves` are the zones where anything is known to serve; None: nothing is known."""
+
     zone: str
     topology: Topology
     limits: SteerLimits = field(default_factory=SteerLimits)
@@ -112,9 +117,14 @@
         first = trial or self._draw(bound, self._weights(row, bound))
         if first is None:
             return ()
-        others = sorted((zone for zone in self._reach(bound) if zone != first and self.open(zone) and (
-            zone in row or self.topology.same_region(zone, self.zone))),
-            key=lambda zone: (-row.get(zone, 0.0), self.topology.cost(self.zone, zone), zone))
+        others = sorted(
+            (
+                zone
+                for zone in self._reach(bound)
+                if zone != first and self.open(zone) and (zone in row or self.topology.same_region(zone, self.zone))
+            ),
+            key=lambda zone: (-row.get(zone, 0.0), self.topology.cost(self.zone, zone), zone),
+        )
         return (first, *others)
 
     def _reach(self, bound: bool) -> list[str]:
@@ -146,8 +156,13 @@
     def _trial(self, now: float, row: Mapping[str, float]) -> str | None:
         for zone, part in row.items():
             seen = self.seen.get(zone)
-            if part > 0 and seen is not None and seen.out and now >= seen.trial_at and (
-                    self.serves is None or zone in self.serves):
+            if (
+                part > 0
+                and seen is not None
+                and seen.out
+                and now >= seen.trial_at
+                and (self.serves is None or zone in self.serves)
+            ):
                 seen.gap = min(2 * seen.gap, self.limits.last_trial)
                 seen.trial_at = now + seen.gap
                 return zone
--- a/sprucespool/failover/topology.py
+++ b/sprucespool/failover/topology.py
@@ -1,4 +1,5 @@
 """Regions, zones, and what it costs to send from one to another. Plain data."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -11,6 +12,7 @@
 class Topology:
     """`regions`: of each zone. `costs` between two different zones, in ms one way or whatever the operator counts in;
     what is not given costs `near` within a region and `far` beyond it."""
+
     regions: dict[str, str]
     costs: dict[tuple[str, str], float] = field(default_factory=dict)
     near: float = 1.0
--- a/sprucespool/failover/ways.py
+++ b/sprucespool/failover/ways.py
@@ -5,6 +5,7 @@
 the middle of what all tell counts, so that one that lies or is slow moves nothing. A cost that is in force is replaced
 only when the measured one is a quarter off: plans must not run after jitter.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -19,6 +20,7 @@
 @dataclass(slots=True, eq=False)
 class Ways:
     """`zone` is the own one. `topology` has the costs in force; it is changed in place, for all who hold it."""
+
     zone: str
     topology: Topology
     newest: int = 15
@@ -38,14 +40,23 @@
 
     def row(self) -> dict[str, float]:
         """One way to each zone that enough is known of, ms."""
-        return {zone: round(max(self.floor, sorted(kept)[len(kept) // 2] / 2), 1)
-                for zone, kept in sorted(self.answers.items()) if len(kept) >= self.least and zone != self.zone}
+        return {
+            zone: round(max(self.floor, sorted(kept)[len(kept) // 2] / 2), 1)
+            for zone, kept in sorted(self.answers.items())
+            if len(kept) >= self.least and zone != self.zone
+        }
 
     def heard(self, name: str, zone: str, row: Mapping[str, float]) -> None:
         """Another's row. What names no zone of these counts nowhere."""
         if zone in self.topology.regions and (name in self.told or len(self.told) < MOST_TELLERS):
-            self.told[name] = zone, {to: max(self.floor, cost) for to, cost in row.items()
-                                     if to in self.topology.regions and 0.0 <= cost < 1e6}
+            self.told[name] = (
+                zone,
+                {
+                    to: max(self.floor, cost)
+                    for to, cost in row.items()
+                    if to in self.topology.regions and 0.0 <= cost < 1e6
+                },
+            )
 
     def weigh(self, members: Iterable[str]) -> bool:
         """Bring the costs up to date by what those members and this one told; true if any changed."""
--- a/sprucespool/failover/whatif.py
+++ b/sprucespool/failover/whatif.py
@@ -1,4 +1,5 @@
 """What would be planned in described states, and whether that is what operators expect. No I/O."""
+
 from __future__ import annotations
 
 import msgspec
@@ -10,6 +11,7 @@
 
 class Expectation(msgspec.Struct):
     """Of the traffic that enters at `zone`, the part that goes `to` a zone (or `shed`) lies between these."""
+
     __args__ = ("zone",)
     zone: str
     to: str = ""
@@ -27,6 +29,7 @@
 
 class ZoneFigures(msgspec.Struct):
     """Cores: what its invokers take now (all of `warm` where not told), what clients ask that enter here."""
+
     __args__ = ("zone",)
     zone: str
     warm: float
@@ -51,6 +54,7 @@
 
 class WhatIf(msgspec.Struct):
     """A file of states with expectations beside them."""
+
     zones: list[ZonePlace] = []
     distances: list[Distance] = []
     own_most: float = 0.85
@@ -71,6 +75,7 @@
 
 class Answer(msgspec.Struct):
     """Of one state. `broken`: a line for each expectation that does not hold, naming route and state."""
+
     state: str
     free: dict[str, dict[str, float]]
     bound: dict[str, dict[str, float]]
@@ -83,10 +88,17 @@
     topology = Topology.of(told.zones, told.distances)
     answers = []
     for state in told.states:
-        states = {one.zone: ZoneState(one.zone, one.warm if one.now is None else one.now, one.warm, one.free, one.bound,
-                                      one.trust) for one in state.zones}
-        planner = Planner(topology, PlannerLimits(own_most=told.own_most, far_most=told.far_most),
-                          drained=frozenset(one.zone for one in state.draineds))
+        states = {
+            one.zone: ZoneState(
+                one.zone, one.warm if one.now is None else one.now, one.warm, one.free, one.bound, one.trust
+            )
+            for one in state.zones
+        }
+        planner = Planner(
+            topology,
+            PlannerLimits(own_most=told.own_most, far_most=told.far_most),
+            drained=frozenset(one.zone for one in state.draineds),
+        )
         free, bound, caps, shed = planner.target(states)
         broken = []
         for wish in state.expects:
--- a/sprucespool/faults.py
+++ b/sprucespool/faults.py
@@ -4,6 +4,7 @@
 that stand are closed. `reset`: connections are reset, new ones too. `stopped`: what is under way stops in the middle of
 a message. In virtual time, where there are no connections, each of them delivers nothing.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -16,6 +17,7 @@
 class LinkState:
     """One direction of a link. `delay` and `jitter` in ms one way; `loss` a part of the messages (on a stream: of the
     pieces, which then come as late as a retransmission takes); `bandwidth` in bytes a second, 0 without limit."""
+
     delay: float = 0.0
     jitter: float = 0.0
     loss: float = 0.0
@@ -35,6 +37,7 @@
 @dataclass(slots=True)
 class Rule:
     """From any of `sources` to any of `targets`; None stands for all."""
+
     sources: frozenset[str] | None
     targets: frozenset[str] | None
     state: LinkState
@@ -46,6 +49,7 @@
 @dataclass(slots=True)
 class Links:
     """What holds between any two processes: the last rule that speaks of them, else `usual`."""
+
     usual: LinkState = WELL
     rules: dict[str, list[Rule]] = field(default_factory=dict)
     # Processes that stand at the place of another name: its faults are theirs.
@@ -59,8 +63,9 @@
                     return rule.state
         return self.usual
 
-    def put(self, name: str, one: Iterable[str] | None, other: Iterable[str] | None, state: LinkState,
-            both: bool = True) -> None:
+    def put(
+        self, name: str, one: Iterable[str] | None, other: Iterable[str] | None, state: LinkState, both: bool = True
+    ) -> None:
         """`name` takes it back (`heal`)."""
         first = None if one is None else frozenset(one)
         second = None if other is None else frozenset(other)
@@ -69,8 +74,9 @@
     def part(self, name: str, sides: Iterable[Iterable[str]], cut: str = "silent") -> None:
         """No side reaches another."""
         groups = [frozenset(side) for side in sides]
-        self.rules[name] = [Rule(one, other, LinkState(cut=cut)) for one in groups for other in groups
-                            if one is not other]
+        self.rules[name] = [
+            Rule(one, other, LinkState(cut=cut)) for one in groups for other in groups if one is not other
+        ]
 
     def heal(self, name: str) -> None:
         self.rules.pop(name, None)
--- a/sprucespool/fleet/credit.py
+++ b/sprucespool/fleet/credit.py
@@ -3,6 +3,7 @@
 The record is learning's: a witness begins with some credit; one of whose words most proved wrong (five lies at once)
 is left out, under its name and start. A restart is another witness.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/sprucespool/fleet/eyes.py
+++ b/sprucespool/fleet/eyes.py
@@ -1,4 +1,5 @@
 """What a controller sees of invokers with its own eyes, from its own forwards. No I/O, no clock."""
+
 from __future__ import annotations
 
 import math
@@ -12,6 +13,7 @@
 @dataclass(slots=True, eq=False)
 class Sight:
     """Of one address. `kind`: what is to be said of it, empty while there is nothing."""
+
     heard: float = -math.inf
     kind: str = ""
     failures: int = 0
@@ -22,6 +24,7 @@
 class Eyes:
     """`silent_after`: ms without a word, with a forward out, after which an invoker is called silent; longer than a
     load takes."""
+
     silent_after: float = 2_000.0
     sights: dict[str, Sight] = field(default_factory=dict)
     # Addresses with forwards out, the oldest first.
--- a/sprucespool/fleet/fleet.py
+++ b/sprucespool/fleet/fleet.py
@@ -3,6 +3,7 @@
 No I/O; time and chance handed in. Everything that happens enters by a method with its time; `take` gives what changed:
 places of invokers, doubts of others, events. `cargo` rides on the group's messages; the rest is sent on its own.
 """
+
 from __future__ import annotations
 
 import math
@@ -24,6 +25,7 @@
 @dataclass(frozen=True, slots=True)
 class FleetLimits:
     """Times in ms."""
+
     opinions: OpinionLimits = field(default_factory=OpinionLimits)
     silent_after: float = 2_000.0
     # An own answer so young outranks what others say.
@@ -59,6 +61,7 @@
 @dataclass(slots=True)
 class _Own:
     """What the own roster last said of a process, since which of its versions."""
+
     listed: Listed
     since: int
 
@@ -67,6 +70,7 @@
 class _News:
     """Of a process: how often its words and rows are still to be told, and each observer's opinion; what of these no
     push has told yet."""
+
     facts: int = 0
     opinions: dict[Witness, int] = field(default_factory=dict)
     unsent: dict[Witness, None] = field(default_factory=dict)
@@ -167,13 +171,22 @@
             # A roster, or a note, that lags: the invoker itself has told of a process that began later.
             born = self.born.get(record.process, record.born)
             return record.process[1] not in ("", told or "") and born is not None and born < met
-        found = [record for record in self.view.at(address)
-                 if record.course(self.credit.believed) is not Course.GONE and not before(record)]
+
+        found = [
+            record
+            for record in self.view.at(address)
+            if record.course(self.credit.believed) is not Course.GONE and not before(record)
+        ]
 
         def rank(record: Record) -> tuple:
             listing = self._listing(record)
-            return (told == record.process[1], listing is not None and
-                    listing.listed is not Listed.NOT, listing.version if listing else -1, record.process)
+            return (
+                told == record.process[1],
+                listing is not None and listing.listed is not Listed.NOT,
+                listing.version if listing else -1,
+                record.process,
+            )
+
         return max(found, key=rank, default=None)
 
     def _listing(self, record: Record) -> Listing | None:
@@ -187,8 +200,14 @@
             self.unconfirmed.append((self.now + self.limits.wait_for_own, record.process))
         if self.now - since >= self.limits.wait_for_own:
             return listing
-        return max((one for witness, one in record.listings.items()
-                    if self.credit.believed(witness) and one.version <= self.version), default=None)
+        return max(
+            (
+                one
+                for witness, one in record.listings.items()
+                if self.credit.believed(witness) and one.version <= self.version
+            ),
+            default=None,
+        )
 
     def _place(self, address: str) -> Place | None:
         record = self.current(address)
@@ -200,8 +219,16 @@
         status = STATUS[listing.listed]
         if record.course(self.credit.believed) is Course.DRAINING and status != "gone":
             status = "draining"
-        return Place(address, record.process[1], status, listing.zone, listing.kind, listing.cell, listing.size,
-                     self.born.get(record.process, record.born))
+        return Place(
+            address,
+            record.process[1],
+            status,
+            listing.zone,
+            listing.kind,
+            listing.cell,
+            listing.size,
+            self.born.get(record.process, record.born),
+        )
 
     def _settle(self, address: str):
         """Tell the user what changed at the address."""
@@ -252,8 +279,11 @@
         process = told.process
         content = before is None or before.content != after.content
         # A second witness is worth telling, against one that is left out later; a third is not.
-        facts = content or before is None or (
-            len(before.words) < min(2, len(after.words)) or len(before.listings) < min(2, len(after.listings)))
+        facts = (
+            content
+            or before is None
+            or (len(before.words) < min(2, len(after.words)) or len(before.listings) < min(2, len(after.listings)))
+        )
         if content:
             self._changed_at = self.now
             if after.words and (before is None or after.course() is not before.course()):
@@ -281,27 +311,48 @@
         fresh = self.now - self.limits.opinion_again
 
         def alike(who: Witness, one: Opinion) -> int:
-            return sum(other.zone == one.zone and (other.kind in BAD) is (one.kind in BAD) and other.at > fresh
-                       for witness, other in held.items() if witness != who)
-        return {who: None for who, one in after.opinions.items()
-                if (who not in held or one.count > held[who].count) and one.at > fresh
-                and alike(who, one) < self.limits.enough}
+            return sum(
+                other.zone == one.zone and (other.kind in BAD) is (one.kind in BAD) and other.at > fresh
+                for witness, other in held.items()
+                if witness != who
+            )
+
+        return {
+            who: None
+            for who, one in after.opinions.items()
+            if (who not in held or one.count > held[who].count)
+            and one.at > fresh
+            and alike(who, one) < self.limits.enough
+        }
 
     def _say_listing(self, process: Process, listing: Listing, born: float | None):
         """State a row under the own name, if it is not held so on the word of two already."""
         record = self.view.records.get(process)
         newest = record.listing(self.credit.believed) if record else None
         if newest is not None and record is not None:
-            if newest.version == listing.version and newest.content != listing.content and newest.source == (
-                    listing.source):
+            if (
+                newest.version == listing.version
+                and newest.content != listing.content
+                and newest.source == (listing.source)
+            ):
                 others = tuple(sorted(witness[0] for witness, one in record.listings.items() if one == newest))
-                self._happened("contradiction", process, others,
-                               f"{listing.source} {listing.version} says {listing.listed.name} here, "
-                               f"{newest.listed.name} there")
-            same = sum(one.content == listing.content for witness, one in record.listings.items()
-                       if self.credit.believed(witness))
-            if newest.content == listing.content and same >= 2 or newest.version > listing.version and (
-                    newest.content != listing.content):
+                self._happened(
+                    "contradiction",
+                    process,
+                    others,
+                    f"{listing.source} {listing.version} says {listing.listed.name} here, {newest.listed.name} there",
+                )
+            same = sum(
+                one.content == listing.content
+                for witness, one in record.listings.items()
+                if self.credit.believed(witness)
+            )
+            if (
+                newest.content == listing.content
+                and same >= 2
+                or newest.version > listing.version
+                and (newest.content != listing.content)
+            ):
                 if born is not None and record.born is None:
                     self._join(Record(process, born=born))
                 return
@@ -310,8 +361,11 @@
     def _say_word(self, process: Process, word: Word):
         """A fact that this controller was told or saw. Two witnesses are enough."""
         record = self.view.records.get(process)
-        if record is not None and sum(one.course >= word.course for witness, one in record.words.items()
-                                      if self.credit.believed(witness)) >= 2:
+        if (
+            record is not None
+            and sum(one.course >= word.course for witness, one in record.words.items() if self.credit.believed(witness))
+            >= 2
+        ):
             return
         if process[1]:
             self._join(Record(process, words={self.me: word}))
@@ -342,9 +396,14 @@
         if whole and not back:
             for record in list(self.view.records.values()):
                 listing = record.listing(self.credit.believed)
-                if (record.process not in named and listing is not None and listing.source == source
-                        and listing.listed is not Listed.NOT and listing.version < version
-                        and record.course() is not Course.GONE):
+                if (
+                    record.process not in named
+                    and listing is not None
+                    and listing.source == source
+                    and listing.listed is not Listed.NOT
+                    and listing.version < version
+                    and record.course() is not Course.GONE
+                ):
                     self._say_listing(record.process, replace(listing, version=version, listed=Listed.NOT), None)
         for (process, witness), wanted in list(self.ahead.items()):
             if wanted <= version:
@@ -357,8 +416,14 @@
     def _second_version(self) -> int:
         """What two members' rosters have reached: one that lies about its version alone moves nothing."""
         names = {peer.name for peer in self.peers}
-        held = sorted((version for witness, version in self.versions.items()
-                       if witness[0] in names and self.credit.believed(witness)), reverse=True)
+        held = sorted(
+            (
+                version
+                for witness, version in self.versions.items()
+                if witness[0] in names and self.credit.believed(witness)
+            ),
+            reverse=True,
+        )
         return held[1] if len(held) > 1 else 0
 
     def _row(self, row: Told, version: int, back: bool):
@@ -382,8 +447,9 @@
             born = self.now - row.age if row.age is not None else None
             if born is not None:
                 self.born.setdefault(process, born)
-            self._say_listing(process, Listing(version, self.source, shown, row.zone, row.kind, row.cell, row.size),
-                              born)
+            self._say_listing(
+                process, Listing(version, self.source, shown, row.zone, row.kind, row.cell, row.size), born
+            )
         if not back and not row.gone and self.course(process) is not Course.GONE:
             self._succeeds(process, version)
 
@@ -411,8 +477,9 @@
     def sent(self, now: float, number: int, address: str) -> None:
         self.eyes.sent(self._clock(now), number, address)
 
-    def ended(self, now: float, number: int, outcome: str, boot: str = "", draining: bool = False,
-              age: float | None = None) -> None:
+    def ended(
+        self, now: float, number: int, outcome: str, boot: str = "", draining: bool = False, age: float | None = None
+    ) -> None:
         """An own forward ended; `boot`, `draining` and `age` as the invoker itself told with it, if it did."""
         now = self._clock(now)
         address = self.eyes.ended(now, number, outcome)
@@ -441,8 +508,13 @@
             listing = max((one for record in old if (one := record.listing(self.credit.believed))), default=None)
             if process not in self.view.records and listing is not None:
                 # No roster named it yet: it stands where the one before it stood, of the same kind.
-                self._join(Record(process, listings={self.me: replace(listing, listed=Listed.IN_SERVICE)},
-                                  born=self.now - age if age is not None else self.now))
+                self._join(
+                    Record(
+                        process,
+                        listings={self.me: replace(listing, listed=Listed.IN_SERVICE)},
+                        born=self.now - age if age is not None else self.now,
+                    )
+                )
             for record in old:
                 if record.course(self.credit.believed) is not Course.GONE:
                     self._say_word(record.process, Word(Course.GONE))
@@ -460,8 +532,12 @@
         """Own answers outrank all that is told: who said that this process is gone, or drains, was wrong."""
         for record in self.view.at(address):
             process = record.process
-            if not record.words or boot and process[1] != boot or (
-                    self.now - self.words_at.get(process, self.now) < self.limits.overrule_after):
+            if (
+                not record.words
+                or boot
+                and process[1] != boot
+                or (self.now - self.words_at.get(process, self.now) < self.limits.overrule_after)
+            ):
                 continue
             if not boot and len(self.view.at(address)) > 1:
                 continue  # which of them answered is not known
@@ -487,16 +563,28 @@
         if said is None and not bad or not kind:
             return
         changed = said is None or said.kind != kind
-        if not changed and (not bad or now - at < self.limits.opinion_again) or (
-                changed and now - at < self.limits.opinion_every):
+        if (
+            not changed
+            and (not bad or now - at < self.limits.opinion_again)
+            or (changed and now - at < self.limits.opinion_every)
+        ):
             return
         if not bad or not self._enough(record):
             self._speak(process, kind)
 
     def _enough(self, record: Record) -> bool:
         fresh = self.now - self.limits.opinion_again
-        return sum(one.kind in BAD and one.zone == self.zone and one.at > fresh and who != self.me
-                   and self.credit.believed(who) for who, one in record.opinions.items()) >= self.limits.enough
+        return (
+            sum(
+                one.kind in BAD
+                and one.zone == self.zone
+                and one.at > fresh
+                and who != self.me
+                and self.credit.believed(who)
+                for who, one in record.opinions.items()
+            )
+            >= self.limits.enough
+        )
 
     def _speak(self, process: Process, kind: str):
         said = self.said.get(process)
@@ -526,8 +614,7 @@
         if note.kind == "rows":
             return self._beyond(note)
         quiet = now - self._changed_at >= self.limits.differ_for and not self._hurry
-        if note.digest != self.digest and (
-                empty or quiet or now - self._compared_at >= self.limits.storm_every):
+        if note.digest != self.digest and (empty or quiet or now - self._compared_at >= self.limits.storm_every):
             return self._compare(note.address, empty)
         return []
 
@@ -543,10 +630,17 @@
             if self.me in said and said[self.me] != held.get(self.me):
                 said = {witness: one for witness, one in said.items() if witness != self.me}
             return said
-        told = replace(told, words=others(told.words, mine.words if mine else {}),
-                       listings=others(told.listings, mine.listings if mine else {}),
-                       opinions={who: one for who, one in others(
-                           told.opinions, mine.opinions if mine else {}).items() if self.credit.believed(who)})
+
+        told = replace(
+            told,
+            words=others(told.words, mine.words if mine else {}),
+            listings=others(told.listings, mine.listings if mine else {}),
+            opinions={
+                who: one
+                for who, one in others(told.opinions, mine.opinions if mine else {}).items()
+                if self.credit.believed(who)
+            },
+        )
         # Opinions of one that is not believed go no further: they change all the time and would flood the group. Its
         # words and rows do, or views would differ for good.
         if mine is not None and not adds(mine, told):
@@ -569,8 +663,9 @@
                 continue
             if self.now - heard < self.limits.own_fresh:
                 if opinion.zone == self.zone:
-                    self._judged(witness, process, f"{opinion.kind} {opinion.count // 4}", False,
-                                 "it was just heard from here")
+                    self._judged(
+                        witness, process, f"{opinion.kind} {opinion.count // 4}", False, "it was just heard from here"
+                    )
                 record = self.view.records[process]
                 said, at = self.said.get(process, (None, -math.inf))
                 well = sum(one.kind == "well" for one in record.opinions.values())
@@ -587,8 +682,9 @@
         listing, word = record.listings.get(witness), record.words.get(witness)
         own = self.own.get(process)
         for version, source, listed in (
-                (listing.version, listing.source, listing.listed) if listing else (0, "", None),
-                (word.version, word.source, word.course) if word else (0, "", None)):
+            (listing.version, listing.source, listing.listed) if listing else (0, "", None),
+            (word.version, word.source, word.course) if word else (0, "", None),
+        ):
             if source != self.source or listed is None:
                 continue
             if version > self.version:
@@ -611,11 +707,24 @@
         """An older row that won for want of this controller's newer one."""
         own, record = self.own[process], self.view.records[process]
         newest = record.listing(self.credit.believed)
-        if (newest is not None and newest.source == self.source and newest.version < self.version
-                and newest.listed is Listed.NOT and own.listed is not Listed.NOT
-                and record.course(self.credit.believed) is not Course.GONE):
-            self._join(Record(process, listings={self.me: replace(
-                newest, version=self.version, listed=own.listed if not process[1] else Listed.IN_SERVICE)}))
+        if (
+            newest is not None
+            and newest.source == self.source
+            and newest.version < self.version
+            and newest.listed is Listed.NOT
+            and own.listed is not Listed.NOT
+            and record.course(self.credit.believed) is not Course.GONE
+        ):
+            self._join(
+                Record(
+                    process,
+                    listings={
+                        self.me: replace(
+                            newest, version=self.version, listed=own.listed if not process[1] else Listed.IN_SERVICE
+                        )
+                    },
+                )
+            )
 
     # Time
 
@@ -657,7 +766,7 @@
         for address, place in self.told.items():
             if place.status == "in service":
                 continue
-            turn = sorted(names, key=lambda name: zlib.crc32(f"{name}\0{address}".encode()))[:self.limits.probers]
+            turn = sorted(names, key=lambda name: zlib.crc32(f"{name}\0{address}".encode()))[: self.limits.probers]
             if self.me[0] in turn:
                 self._probes.append(address)
 
@@ -668,19 +777,28 @@
                 continue
             sight = self.eyes.sights.get(process[0])
             record = self.view.records.get(process)
-            if opinion.kind in BAD and sight is not None and sight.kind == opinion.kind and sight.out and (
-                    record is not None and not self._enough(record)):
+            if (
+                opinion.kind in BAD
+                and sight is not None
+                and sight.kind == opinion.kind
+                and sight.out
+                and (record is not None and not self._enough(record))
+            ):
                 self._speak(process, opinion.kind)
             elif now - at >= self.limits.opinions.fresh:
                 del self.said[process]
 
     def _weigh(self, now: float):
         changed, self._weigh_these = self._weigh_these, {}
-        found = self.weighing.look(now, self.view, self.zone, self._own_speaks, None if self._weigh_all else changed,
-                                   self.credit.believed)
+        found = self.weighing.look(
+            now, self.view, self.zone, self._own_speaks, None if self._weigh_all else changed, self.credit.believed
+        )
         self._weigh_all = False
-        out = {process[0]: why for process, why in found.out.items()
-               if process[0] in self.told and self.told[process[0]].boot == process[1]}
+        out = {
+            process[0]: why
+            for process, why in found.out.items()
+            if process[0] in self.told and self.told[process[0]].boot == process[1]
+        }
         for address, why in out.items():
             if address not in self.doubted:
                 self._doubts.append(Doubt(address, True, why))
@@ -693,8 +811,9 @@
         for zone in found.panic:
             if zone not in self.panic:
                 part = f"{self.limits.opinions.most_out:.0%}"
-                self._happened("panic", why=f"more than {part} of zone {zone or '-'} would be left aside: all of it is "
-                                            "in again")
+                self._happened(
+                    "panic", why=f"more than {part} of zone {zone or '-'} would be left aside: all of it is in again"
+                )
         if self.panic and not found.panic:
             self._happened("calm", why="no zone is doubted as a whole any more")
         self.panic = found.panic
@@ -722,7 +841,7 @@
         self._clock(now)
         if not self._news:
             return self._note("cargo")
-        picked = sorted(self._news, key=lambda process: (-self._news[process].left, process))[:self.limits.cargo_most]
+        picked = sorted(self._news, key=lambda process: (-self._news[process].left, process))[: self.limits.cargo_most]
         rows = []
         for process in picked:
             news = self._news[process]
@@ -742,7 +861,7 @@
         return [Record(process, opinions=opinions)] if opinions else []
 
     def _push(self) -> list[Send]:
-        picked = list(self._hurry)[:self.limits.push_most]
+        picked = list(self._hurry)[: self.limits.push_most]
         for process in picked:
             del self._hurry[process]
         self._push_at = self.now + self.limits.gather if self._hurry else math.inf
@@ -784,10 +903,15 @@
     def _beyond(self, note: Note) -> list[Send]:
         """What this controller has in the told buckets beyond what it was told of them."""
         told = {record.process: record for record in note.records}
-        rows = [record for record in self.view.rows_in(note.buckets)
-                if record.process not in told or told[record.process].content != record.content]
-        return [Send(note.address, self._note("extra", tuple(rows[n:n + self.limits.page])))
-                for n in range(0, len(rows), self.limits.page)]
+        rows = [
+            record
+            for record in self.view.rows_in(note.buckets)
+            if record.process not in told or told[record.process].content != record.content
+        ]
+        return [
+            Send(note.address, self._note("extra", tuple(rows[n : n + self.limits.page])))
+            for n in range(0, len(rows), self.limits.page)
+        ]
 
     # Snapshots
 
--- a/sprucespool/fleet/notes.py
+++ b/sprucespool/fleet/notes.py
@@ -1,4 +1,5 @@
 """What controllers tell each other of the invokers, and what a view tells its user. Plain data; times in ms."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -13,6 +14,7 @@
 @dataclass(frozen=True, slots=True)
 class Note:
     """`address`: where the sender is reached. `version`: of its own roster, 0 where it has none that lives."""
+
     kind: str
     sender: Witness
     address: str
@@ -26,6 +28,7 @@
 @dataclass(frozen=True, slots=True)
 class Send:
     """Send the note to the controller at `to`. Nobody waits for it to arrive."""
+
     to: str
     note: Note
 
@@ -33,6 +36,7 @@
 @dataclass(frozen=True, slots=True)
 class Told:
     """A row of the own roster. `gone` where it says so of the process; `age` where it tells."""
+
     process: Process
     listed: Listed = Listed.IN_SERVICE
     gone: bool = False
@@ -47,6 +51,7 @@
 class Place:
     """What is to be known of an address from now on. `status`: in service, draining or gone. `born`: when the process
     started, ms of this controller's clock."""
+
     address: str
     boot: str
     status: str
@@ -60,6 +65,7 @@
 @dataclass(frozen=True, slots=True)
 class Doubt:
     """Others cannot reach the invoker, as seen from here (`ill`), or no longer say so."""
+
     address: str
     ill: bool
     why: str = ""
@@ -69,6 +75,7 @@
 class Happened:
     """`kind`: started, draining, gone, unlisted; unreachable, reachable, panic, calm; behind, back, contradiction (of
     rosters); distrusted (a witness)."""
+
     kind: str
     at: float
     process: Process | None = None
--- a/sprucespool/fleet/opinions.py
+++ b/sprucespool/fleet/opinions.py
@@ -1,4 +1,5 @@
 """What to make of others' opinions of invokers: they bend choices, never forbid alone, never empty the fleet."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -13,6 +14,7 @@
 @dataclass(frozen=True, slots=True)
 class OpinionLimits:
     """`observers`: controllers that must agree; `most_out`: the part of a zone that opinions may set aside."""
+
     observers: int = 2
     most_out: float = 0.5
     fresh: float = 15_000.0
@@ -22,6 +24,7 @@
 class Judged:
     """Processes to be left aside as seen from a zone, by why; `panic`: zones in which so many would be out that all
     are in again."""
+
     out: dict[Process, str]
     panic: tuple[str, ...]
 
@@ -45,8 +48,14 @@
     return Judged({process: why for process, why in out.items() if where[process] not in panic}, panic)
 
 
-def judged(now: float, records: Iterable[Record], zone: str, own: set[Process], limits: OpinionLimits,
-           believed: Callable[[Witness], bool] = lambda witness: True) -> Judged:
+def judged(
+    now: float,
+    records: Iterable[Record],
+    zone: str,
+    own: set[Process],
+    limits: OpinionLimits,
+    believed: Callable[[Witness], bool] = lambda witness: True,
+) -> Judged:
     """As seen by a controller in `zone`. `own`: processes that this controller's own answers speak for: they outrank
     all that is told. Observers of the own zone count; where the zone has none for an invoker, those of others do.
     Goes through all records: the slow model of `Weighing`."""
@@ -72,13 +81,21 @@
 class Weighing:
     """The same, kept up to date: looks only at processes of which something changed, and at those that own answers
     speak for, as these grow old. At 300 controllers a quarter of all work was to look at all of them anew."""
+
     limits: OpinionLimits
     out: dict[Process, str] = field(default_factory=dict)
     # Others would have them out, own answers speak for them.
     held: set[Process] = field(default_factory=set)
 
-    def look(self, now: float, view: View, zone: str, own: Callable[[Process], bool],
-             changed: Iterable[Process] | None, believed: Callable[[Witness], bool] = lambda witness: True) -> Judged:
+    def look(
+        self,
+        now: float,
+        view: View,
+        zone: str,
+        own: Callable[[Process], bool],
+        changed: Iterable[Process] | None,
+        believed: Callable[[Witness], bool] = lambda witness: True,
+    ) -> Judged:
         """`changed`: processes whose opinions or course changed, or that own answers came from; None: all may have."""
         if changed is None:
             self.out.clear()
--- a/sprucespool/fleet/records.py
+++ b/sprucespool/fleet/records.py
@@ -10,6 +10,7 @@
 Ages travel, clocks never: who is told counts back from the moment of the telling. Told of one opinion twice, the older
 moment holds, as no way makes evidence younger.
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -33,6 +34,7 @@
 
 class Listed(IntEnum):
     """What a roster says of a row; `NOT` where its whole list leaves out what it had."""
+
     IN_SERVICE = 0
     DRAINING = 1
     NOT = 2
@@ -42,6 +44,7 @@
 class Word:
     """One witness's word that the process drains or is gone. `source` and `version` of the roster that told it; no
     source where the witness saw it with its own eyes."""
+
     course: Course
     version: int = 0
     source: str = ""
@@ -50,6 +53,7 @@
 @dataclass(frozen=True, slots=True, order=True)
 class Listing:
     """A roster's row: of which version and source, and what it says."""
+
     version: int
     source: str
     listed: Listed = Listed.IN_SERVICE
@@ -66,6 +70,7 @@
 @dataclass(frozen=True, slots=True)
 class Opinion:
     """Of one observer, numbered by itself. `kind`: well, silent, refused, failing. `at`: when it was so."""
+
     count: int
     kind: str
     zone: str
@@ -83,6 +88,7 @@
 class Record:
     """Of one process. `born`: the earliest moment at which it is said to have started, as each way adds to what is
     told; None where nobody tells."""
+
     process: Process
     words: dict[Witness, Word] = field(default_factory=dict)
     listings: dict[Witness, Listing] = field(default_factory=dict)
@@ -134,7 +140,9 @@
         # The worst course first: a flood of weaker words drives out no stronger one.
         _first(words, MOST_WORDS, lambda item: (item[1].course, _draw(item[0]))),
         _first(listings, MOST_LISTINGS, lambda item: (item[1], _draw(item[0]))),
-        _first(opinions, MOST_OPINIONS, lambda item: _draw(item[0])), born)
+        _first(opinions, MOST_OPINIONS, lambda item: _draw(item[0])),
+        born,
+    )
 
 
 def adds(held: Record, told: Record) -> bool:
@@ -154,8 +162,12 @@
             return True
         two = sum(one.content == newest.content for one in listings.values()) >= 2
         for who, one in told.listings.items():
-            if one.version > newest.version or one.content != newest.content and one > newest or (
-                    not two and who not in listings):
+            if (
+                one.version > newest.version
+                or one.content != newest.content
+                and one > newest
+                or (not two and who not in listings)
+            ):
                 return True
     return any(who not in opinions or one.count > opinions[who].count for who, one in told.opinions.items())
 
--- a/sprucespool/fleet/view.py
+++ b/sprucespool/fleet/view.py
@@ -3,6 +3,7 @@
 Made for what is asked of it all the time: which records have opinions at all, how many serve in a zone, what lapses
 next. `opinions.judged` and a sweep over all records are the slow model beside it; `benchmarks/fleet.py` compares them.
 """
+
 from __future__ import annotations
 
 import zlib
@@ -23,6 +24,7 @@
 @dataclass(slots=True)
 class View:
     """Bounded by expiry and by `most`: a gone process is remembered so long that no old word revives it."""
+
     remember: float = 600_000.0
     lapse: float = 15_000.0
     most: int = 20_000
--- a/sprucespool/gateway/messages.py
+++ b/sprucespool/gateway/messages.py
@@ -3,6 +3,7 @@
 Times are float milliseconds on whatever clock the owner hands in. Ids are the owner's (`call`) or the gateway's own
 (`forward`, `order`, `probe`: numbers that are never used twice in its life).
 """
+
 from __future__ import annotations
 
 import msgspec
@@ -18,8 +19,10 @@
 
 # Inputs
 
+
 class Call(_Input):
     """An inference arrived; `ttl` is what its client still waits."""
+
     call: str
     group: str
     model: str
@@ -37,16 +40,19 @@
 
 class Left(_Input):
     """The client of the inference went away."""
+
     call: str
 
 
 class FirstResult(_Input):
     """A streamed result began to come in on the forward."""
+
     forward: int
 
 
 class ForwardEnded(_Input):
     """`outcome` and `found` are the values of `interface.Outcome` and `interface.Found`."""
+
     forward: int
     outcome: str
     found: str = "untold"
@@ -58,6 +64,7 @@
 class Row(msgspec.Struct, array_like=True):
     """One invoker of a roster. `boot` names the process, so that a restart is known whatever clocks say; `age` is
     how long it ran when the row was written, None where nobody tells."""
+
     invoker: str
     zone: str = ""
     kind: str = ""
@@ -70,6 +77,7 @@
 
 class Roster(_Input):
     """`kind` is a value of `interface.News`."""
+
     kind: str
     version: int = 0
     rows: list[Row] = []
@@ -94,6 +102,7 @@
 
 class Claim(msgspec.Struct, array_like=True):
     """Copies of a model at one process of an invoker, as somebody tells of them; `life` ms at the most."""
+
     invoker: str
     boot: str
     model: str
@@ -104,6 +113,7 @@
 
 class Told(_Input):
     """Another's word of what stands where; a claim without life takes an earlier one back."""
+
     claims: list[Claim]
 
 
@@ -113,12 +123,14 @@
 
 class Sharing(_Input):
     """Controllers that are there, and by how many what they share is to be divided here; infinite: nothing of it."""
+
     live: int
     sharers: float
 
 
 class Doubted(_Input):
     """Other controllers cannot reach the invoker (`ill`), or no longer say so."""
+
     invoker: str
     ill: bool
 
@@ -127,14 +139,29 @@
     """The time asked for by `WakeAt` has come."""
 
 
-Input = (Call | Left | FirstResult | ForwardEnded | Roster | OrderEnded | ProbeEnded | PeerMessage | Told
-         | BeliefsAsked | Sharing | Doubted | Woke)
+Input = (
+    Call
+    | Left
+    | FirstResult
+    | ForwardEnded
+    | Roster
+    | OrderEnded
+    | ProbeEnded
+    | PeerMessage
+    | Told
+    | BeliefsAsked
+    | Sharing
+    | Doubted
+    | Woke
+)
 
 
 # Effects
 
+
 class SendForward(_Effect):
     """`attempt` counts the forwards of the call from 0; `time_out` is watched by the gateway itself."""
+
     forward: int
     call: str
     invoker: str
@@ -145,6 +172,7 @@
 
 class Recall(_Effect):
     """Nobody waits for this forward any more: cancel it; nothing is to be told of it."""
+
     forward: int
     call: str
     invoker: str
@@ -152,18 +180,21 @@
 
 class AnswerReturned(_Effect):
     """The result that came with the forward is the call's final answer."""
+
     call: str
     forward: int
 
 
 class StreamBegun(_Effect):
     """The forward's results belong to the client from now on; its end ends the call."""
+
     call: str
     forward: int
 
 
 class StreamEnded(_Effect):
     """The stream came to its end: whole, or broken after it had begun."""
+
     call: str
     forward: int
     whole: bool
@@ -181,6 +212,7 @@
 
 class Rejected(_Effect):
     """The call was never taken: what it names is not known here."""
+
     call: str
     why: str
 
@@ -210,6 +242,7 @@
 
 class SendMessage(_Effect):
     """`peer` None means all of them."""
+
     peer: int | None
     payload: bytes
 
@@ -224,6 +257,7 @@
 
 class Known(msgspec.Struct, array_like=True):
     """One belief given out; `own` if it rests on an own answer."""
+
     invoker: str
     boot: str
     model: str
@@ -240,16 +274,35 @@
 
 class WakeAt(_Effect):
     """Feed `Woke` at this time; replaces the wake-up asked for before."""
+
     at: float
 
 
 class Note(_Effect):
     """For the log. `fault` marks what the decision module ought not to have done."""
+
     text: str
     fault: bool = False
     call: str = ""
 
 
-Effect = (SendForward | Recall | AnswerReturned | StreamBegun | StreamEnded | AnswerShed | AnswerFailed | Rejected
-          | SendOrder | SendUnload | SendProbe | CloseIdle | SendMessage | SubscribeRoster | FetchRoster
-          | BeliefsGiven | WakeAt | Note)
+Effect = (
+    SendForward
+    | Recall
+    | AnswerReturned
+    | StreamBegun
+    | StreamEnded
+    | AnswerShed
+    | AnswerFailed
+    | Rejected
+    | SendOrder
+    | SendUnload
+    | SendProbe
+    | CloseIdle
+    | SendMessage
+    | SubscribeRoster
+    | FetchRoster
+    | BeliefsGiven
+    | WakeAt
+    | Note
+)
--- a/sprucespool/gateway/record.py
+++ b/sprucespool/gateway/record.py
@@ -1,4 +1,5 @@
 """A gateway's inputs written down, and played again to the same effects byte for byte."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
@@ -79,8 +80,9 @@
             raise ReplayError(f"batch {number}: {problem}") from None
 
 
-def replay(source: BinaryIO, port: Callable[[ms.Effect], None],
-           decider: Callable[[it.Deployment, int], Decider] = Controller) -> Gateway:
+def replay(
+    source: BinaryIO, port: Callable[[ms.Effect], None], decider: Callable[[it.Deployment, int], Decider] = Controller
+) -> Gateway:
     """Play a record; `port` gets the effects. Raises ReplayError on what is no record."""
     frames = _frames(source)
     head = _head(next(frames, b""))
--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -5,6 +5,7 @@
 RFC 9113 section 6.8 lets the streams below it finish, so those frames are handled here), and the bounds against peers
 that flood. `receive` takes bytes and gives events; `outgoing` gives the bytes to write.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -41,9 +42,11 @@
 
 # Events
 
+
 @dataclass(slots=True)
 class Began:
     """Server: a call; `timeout` in ms or None."""
+
     stream: int
     path: str
     metadata: Metadata
@@ -53,6 +56,7 @@
 @dataclass(slots=True)
 class Message:
     """`data` is one whole message; tell `consumed(stream, size)` when it left for good."""
+
     stream: int
     data: bytes
     size: int
@@ -61,12 +65,14 @@
 @dataclass(slots=True)
 class HalfClosed:
     """Server: the client will send no more."""
+
     stream: int
 
 
 @dataclass(slots=True)
 class Answered:
     """Client: the call's status; the only end that an answer of the server makes."""
+
     stream: int
     status: Status
     message: str
@@ -77,6 +83,7 @@
 @dataclass(slots=True)
 class Reset:
     """The peer gave the stream up. `never_ran`: it says that nothing of it was looked at."""
+
     stream: int
     code: int
     never_ran: bool
@@ -85,6 +92,7 @@
 @dataclass(slots=True)
 class GoingAway:
     """The peer takes no new streams here."""
+
     code: int
     why: str
 
@@ -97,6 +105,7 @@
 @dataclass(slots=True)
 class Drained:
     """What waited to be written on the stream is below the low mark again."""
+
     stream: int
 
 
@@ -106,6 +115,7 @@
 @dataclass(slots=True)
 class _Flow:
     """Data of one stream that waits to be written, with its end."""
+
     waiting: deque[memoryview] = field(default_factory=deque)
     size: int = 0
     trailers: list | None = None
@@ -132,6 +142,7 @@
 
 class Ledger:
     """Bytes of half-received messages over many connections: each is bounded, thousands together are not."""
+
     __slots__ = ("used", "most")
 
     def __init__(self, most: int):
@@ -140,6 +151,7 @@
 
 class _Bucket:
     """How many of something the peer may do in a second."""
+
     __slots__ = ("most", "level", "at")
 
     def __init__(self, most: float):
@@ -153,26 +165,44 @@
 
 class Link:
     """What both ends share."""
+
     low_mark = 16384
 
     def __init__(self, limits: Limits, server: bool, ledger: Ledger | None = None):
         self.limits, self.server, self.ledger = limits, server, ledger or Ledger(4 * limits.unsent)
-        self.h2 = h2.connection.H2Connection(h2.config.H2Configuration(
-            client_side=not server, header_encoding=None, validate_outbound_headers=False,
-            normalize_outbound_headers=False, validate_inbound_headers=True))
+        self.h2 = h2.connection.H2Connection(
+            h2.config.H2Configuration(
+                client_side=not server,
+                header_encoding=None,
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+                validate_inbound_headers=True,
+            )
+        )
         codes = h2.settings.SettingCodes
-        told = {codes.MAX_CONCURRENT_STREAMS: limits.streams, codes.INITIAL_WINDOW_SIZE: limits.stream_window,
-                codes.MAX_HEADER_LIST_SIZE: limits.header_list, codes.MAX_FRAME_SIZE: LARGEST_FRAME,
-                codes.ENABLE_PUSH: 0}
+        told = {
+            codes.MAX_CONCURRENT_STREAMS: limits.streams,
+            codes.INITIAL_WINDOW_SIZE: limits.stream_window,
+            codes.MAX_HEADER_LIST_SIZE: limits.header_list,
+            codes.MAX_FRAME_SIZE: LARGEST_FRAME,
+            codes.ENABLE_PUSH: 0,
+        }
         # h2 would end the connection over one stream or header too many; only the call is refused here, so h2
         # works by wider bounds than the peer is told.
-        self.h2.local_settings = h2.settings.Settings(client=not server, initial_values={
-            **told, codes.MAX_CONCURRENT_STREAMS: 2**31 - 1, codes.MAX_HEADER_LIST_SIZE: limits.header_cut})
+        self.h2.local_settings = h2.settings.Settings(
+            client=not server,
+            initial_values={
+                **told,
+                codes.MAX_CONCURRENT_STREAMS: 2**31 - 1,
+                codes.MAX_HEADER_LIST_SIZE: limits.header_cut,
+            },
+        )
         self.h2.initiate_connection()
         self.h2.data_to_send()
         self.h2.max_inbound_frame_size = LARGEST_FRAME
-        frame = SettingsFrame(0, settings={int(code): value for code, value in told.items()
-                                           if not (server and code is codes.ENABLE_PUSH)})
+        frame = SettingsFrame(
+            0, settings={int(code): value for code, value in told.items() if not (server and code is codes.ENABLE_PUSH)}
+        )
         self._out: list[bytes] = [b"" if server else PREFACE, frame.serialize()]
         self.h2.increment_flow_control_window(limits.link_window - 65535)
         self.streams: dict[int, _Stream] = {}
@@ -193,7 +223,7 @@
         buffered = self._rest + bytes(data) if self._rest else bytes(data)
         at = 0
         if self._preface:
-            if not PREFACE.startswith(buffered[:self._preface]):
+            if not PREFACE.startswith(buffered[: self._preface]):
                 self._die(Codes.PROTOCOL_ERROR, "expected the HTTP/2 preface")
             if len(buffered) < self._preface:
                 self._rest = buffered
@@ -202,7 +232,7 @@
             self.h2.receive_data(PREFACE)
         begin = at
         while len(buffered) - at >= FRAME_HEAD:
-            size = int.from_bytes(buffered[at:at + 3], "big")
+            size = int.from_bytes(buffered[at : at + 3], "big")
             if size > LARGEST_FRAME:
                 self._die(Codes.FRAME_SIZE_ERROR, f"a frame of {size} bytes, {LARGEST_FRAME} are allowed")
             end = at + FRAME_HEAD + size
@@ -211,10 +241,11 @@
             kind = buffered[at + 3]
             if kind == GOAWAY:
                 self._feed(buffered[begin:at], events, now)
-                self._go_away_came(buffered[at + FRAME_HEAD:end], events)
+                self._go_away_came(buffered[at + FRAME_HEAD : end], events)
                 begin = end
-            elif (kind in (RST_STREAM, SETTINGS, PING) or kind == DATA and not size and not buffered[at + 4] & 1) \
-                    and self._useless.spill(now):
+            elif (
+                kind in (RST_STREAM, SETTINGS, PING) or kind == DATA and not size and not buffered[at + 4] & 1
+            ) and self._useless.spill(now):
                 self._die(Codes.ENHANCE_YOUR_CALM, "too many frames of no use")
             at = end
         self._feed(buffered[begin:at], events, now)
@@ -238,8 +269,11 @@
 
     def _die(self, code: Codes, why: str):
         self.dead = why
-        self._out.append(GoAwayFrame(0, last_stream_id=self.highest, error_code=int(code),
-                                     additional_data=why.encode()[:200]).serialize())
+        self._out.append(
+            GoAwayFrame(
+                0, last_stream_id=self.highest, error_code=int(code), additional_data=why.encode()[:200]
+            ).serialize()
+        )
         raise LinkError(why)
 
     def _go_away_came(self, body: bytes, events: list):
@@ -267,17 +301,20 @@
             self._die(Codes.ENHANCE_YOUR_CALM, "too many half-sent messages")
         part, at = stream.part, 0
         while len(part) - at >= 5:
-            length = int.from_bytes(part[at + 1:at + 5], "big")
+            length = int.from_bytes(part[at + 1 : at + 5], "big")
             if part[at] or length > self.limits.message:
-                why = ("a compressed message without an encoding agreed" if part[at] else
-                       f"a message of {length} bytes, {self.limits.message} are allowed")
+                why = (
+                    "a compressed message without an encoding agreed"
+                    if part[at]
+                    else f"a message of {length} bytes, {self.limits.message} are allowed"
+                )
                 return self._bad_message(event.stream_id, stream, bool(part[at]), why, events)
             if len(part) - at - 5 < length:
                 break
             stream.messages += 1
             stream.owed += length + 5
             # One message may straddle windows: its bytes go back when the user consumed it.
-            events.append(Message(event.stream_id, bytes(part[at + 5:at + 5 + length]), length + 5))
+            events.append(Message(event.stream_id, bytes(part[at + 5 : at + 5 + length]), length + 5))
             at += 5 + length
         if at:
             del part[:at]
@@ -465,8 +502,14 @@
         if not self.leaving:
             self.leaving = True
             self._out.append(self.h2.data_to_send())
-            self._out.append(GoAwayFrame(0, last_stream_id=self.highest if self.server else 0, error_code=code,
-                                         additional_data=why.encode()[:200]).serialize())
+            self._out.append(
+                GoAwayFrame(
+                    0,
+                    last_stream_id=self.highest if self.server else 0,
+                    error_code=code,
+                    additional_data=why.encode()[:200],
+                ).serialize()
+            )
 
     def reset(self, number: int, code: int = Codes.CANCEL):
         """Give a stream up."""
@@ -495,8 +538,9 @@
         size = sum(len(name) + len(value) + 32 for name, value in event.headers)
         found = read_metadata(event.headers)
         if size > self.limits.header_list:
-            return self.refuse(number, Status.RESOURCE_EXHAUSTED,
-                               f"headers of {size} bytes, {self.limits.header_list} are allowed")
+            return self.refuse(
+                number, Status.RESOURCE_EXHAUSTED, f"headers of {size} bytes, {self.limits.header_list} are allowed"
+            )
         if found.get(":method") != "POST":
             return self._http(number, "405")
         kind = found.get("content-type", "")
@@ -542,8 +586,9 @@
         stream = self.streams.get(number)
         if stream is not None and not stream.answered:
             stream.answered = True
-            self._send_headers(number, [(b":status", b"200"), (b"content-type", b"application/grpc"),
-                                        *_pairs(metadata)])
+            self._send_headers(
+                number, [(b":status", b"200"), (b"content-type", b"application/grpc"), *_pairs(metadata)]
+            )
 
     def send(self, number: int, message: bytes) -> int:
         self.begin(number)
@@ -582,9 +627,14 @@
     def call(self, path: str, authority: str, metadata: Metadata | None = None, timeout: float | None = None) -> int:
         """Begin a call; `timeout` in ms."""
         number = self.h2.get_next_available_stream_id()
-        headers = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", path.encode()),
-                   (b":authority", authority.encode()), (b"te", b"trailers"),
-                   (b"content-type", b"application/grpc")]
+        headers = [
+            (b":method", b"POST"),
+            (b":scheme", b"http"),
+            (b":path", path.encode()),
+            (b":authority", authority.encode()),
+            (b"te", b"trailers"),
+            (b"content-type", b"application/grpc"),
+        ]
         if timeout is not None:
             headers.append((b"grpc-timeout", write_timeout(timeout).encode()))
         self._send_headers(number, headers + _pairs(metadata))
@@ -601,8 +651,11 @@
 
     def _bad_message(self, number, stream, compressed, why, events):
         self.reset(number)
-        events.append(Answered(number, Status.INTERNAL if compressed else Status.RESOURCE_EXHAUSTED, why, {},
-                               max(1, stream.messages)))
+        events.append(
+            Answered(
+                number, Status.INTERNAL if compressed else Status.RESOURCE_EXHAUSTED, why, {}, max(1, stream.messages)
+            )
+        )
 
     def _on_response(self, event, events: list, now: float):
         stream = self.streams.get(event.stream_id)
@@ -636,8 +689,7 @@
 
 
 def _pairs(metadata: Metadata | None) -> list[tuple[bytes, bytes]]:
-    return [(name.encode(), value.encode("latin-1", "replace")) for name, value in metadata.items()] \
-        if metadata else []
+    return [(name.encode(), value.encode("latin-1", "replace")) for name, value in metadata.items()] if metadata else []
 
 
 HANDLERS = {
--- a/sprucespool/grpc/status.py
+++ b/sprucespool/grpc/status.py
@@ -1,4 +1,5 @@
 """Status codes, time-outs, metadata and limits of gRPC ("gRPC over HTTP2" in the protocol's own pages)."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -31,9 +32,16 @@
 
 
 # What an HTTP status means where no grpc-status came ("HTTP to gRPC Status Code Mapping").
-FROM_HTTP = {"400": Status.INTERNAL, "401": Status.UNAUTHENTICATED, "403": Status.PERMISSION_DENIED,
-             "404": Status.UNIMPLEMENTED, "429": Status.UNAVAILABLE, "502": Status.UNAVAILABLE,
-             "503": Status.UNAVAILABLE, "504": Status.UNAVAILABLE}
+FROM_HTTP = {
+    "400": Status.INTERNAL,
+    "401": Status.UNAUTHENTICATED,
+    "403": Status.PERMISSION_DENIED,
+    "404": Status.UNIMPLEMENTED,
+    "429": Status.UNAVAILABLE,
+    "502": Status.UNAVAILABLE,
+    "503": Status.UNAVAILABLE,
+    "504": Status.UNAVAILABLE,
+}
 
 UNITS = {"H": 3_600_000.0, "M": 60_000.0, "S": 1000.0, "m": 1.0, "u": 1e-3, "n": 1e-6}
 LONGEST = 8.64e7
@@ -42,6 +50,7 @@
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Bounds of one connection; sizes in bytes, times in milliseconds."""
+
     streams: int = 1000
     header_list: int = 16384
     message: int = 8 * 1024 * 1024
--- a/sprucespool/interface.py
+++ b/sprucespool/interface.py
@@ -3,6 +3,7 @@
 Times are float milliseconds. Objects point to each other; `name` is for the door and for logs only.
 `belief` on a fact belongs to the controller that was handed the fact; whoever hands it over leaves it alone.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
 
 class Scope(Enum):
     """Which invokers drop the repeats of a deduped inference together."""
+
     ALL = "all"
     ZONE = "zone"
     CELL = "cell"
@@ -43,6 +45,7 @@
 
 class Found(Enum):
     """What a returned forward found at the invoker."""
+
     UNTOLD = "untold"
     WARM = "warm"
     BEGAN_LOAD = "began load"
@@ -80,6 +83,7 @@
 @dataclass(slots=True, eq=False)
 class Deployment:
     """What holds for the whole life of a controller."""
+
     controllers: int
     own_number: int
     own_zone: str
@@ -155,6 +159,7 @@
 @dataclass(slots=True, eq=False)
 class Forward:
     """Action: send the inference to the invoker. The same object comes back in `Ended`."""
+
     inference: Inference
     invoker: Invoker
     time_out: float
@@ -174,6 +179,7 @@
 
 # Events
 
+
 @dataclass(slots=True, eq=False)
 class Arrived:
     inference: Inference
@@ -240,6 +246,7 @@
 @dataclass(slots=True, eq=False)
 class Told:
     """Another's word that copies stand, good for `life` at the most; none of it left takes the word back."""
+
     invoker: Invoker
     model: Model
     copies: int
@@ -250,6 +257,7 @@
 @dataclass(slots=True, eq=False)
 class BeliefsAsked:
     """Somebody wants to know what is believed to stand where."""
+
     token: int
 
 
@@ -257,6 +265,7 @@
 class Sharing:
     """So many controllers are there, and what all share is to be divided by `sharers` for this one's part: infinite
     while it may hold none of it. Told only where controllers know of each other."""
+
     live: int
     sharers: float
 
@@ -265,12 +274,14 @@
 class Doubted:
     """Other controllers cannot reach the invoker, and this one has not just heard from it; or they no longer say so.
     Told only where controllers know of each other."""
+
     invoker: Invoker
     ill: bool
 
 
 # Actions (with Forward)
 
+
 @dataclass(slots=True, eq=False)
 class Shed:
     inference: Inference
@@ -290,6 +301,7 @@
 @dataclass(slots=True, eq=False)
 class Order:
     """Hold at least `copies` of the model at the invoker; none only asks."""
+
     invoker: Invoker
     model: Model
     copies: int
@@ -341,6 +353,7 @@
 @dataclass(slots=True, eq=False)
 class Standing:
     """Copies believed to stand; `age` since the last sign of them, `own` if that was an own answer."""
+
     invoker: Invoker
     model: Model
     copies: int
@@ -352,5 +365,6 @@
 @dataclass(slots=True, eq=False)
 class Beliefs:
     """Answer to `BeliefsAsked`."""
+
     token: int
     standing: list[Standing]
--- a/sprucespool/judge/__init__.py
+++ b/sprucespool/judge/__init__.py
@@ -1,4 +1,5 @@
 """The five rules as slow plain checks over what was seen on sockets by stand-ins and clients, never by a controller."""
+
 from sprucespool.judge.rules import BrokenRule, RuleFacts, judge
 from sprucespool.judge.score import Table, score
 
--- a/sprucespool/judge/score.py
+++ b/sprucespool/judge/score.py
@@ -1,4 +1,5 @@
 """A day's table: what was asked for, what became of it, what it cost."""
+
 from __future__ import annotations
 
 from dataclasses import asdict, dataclass
@@ -18,6 +19,7 @@
 @dataclass(slots=True)
 class Table:
     """Numbers of first tries but where a line says tries. `service` is value got over value asked for."""
+
     taken: int = 0
     tries: int = 0
     in_slo_time: int = 0
--- a/sprucespool/judge/seen.py
+++ b/sprucespool/judge/seen.py
@@ -1,4 +1,5 @@
 """What stand-ins and clients write down of their sockets. Times are ms of one machine's monotonic clock."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
@@ -12,6 +13,7 @@
 
 class Sent(_Seen):
     """A client sent a try. `root` names the first try of the same thing; `ttl` is what it waits."""
+
     id: str
     root: str
     controller: int
@@ -23,6 +25,7 @@
 
 class Answer(_Seen):
     """A status came; `code` is gRPC's."""
+
     id: str
     code: int
     message: str = ""
@@ -31,22 +34,26 @@
 
 class NoAnswer(_Seen):
     """The client's wait was over, some slack too, and nothing had come."""
+
     id: str
 
 
 class LeftEarly(_Seen):
     """The client gave its try up."""
+
     id: str
 
 
 class Unreached(_Seen):
     """The connection to the controller could not be had, or broke under the try."""
+
     id: str
     sent: bool
 
 
 class Came(_Seen):
     """A forward reached an invoker; `n` numbers it in that process."""
+
     invoker: str
     boot: str
     n: int
@@ -58,6 +65,7 @@
 
 class Went(_Seen):
     """`how` it ended there: returned, refused, missed, failed, lost (ran, answer gone), cancelled, cut."""
+
     invoker: str
     boot: str
     n: int
@@ -74,6 +82,7 @@
 
 class Booted(_Seen):
     """A process began to serve: cold, with so many cores of such speed."""
+
     invoker: str
     boot: str
     cores: int
@@ -87,6 +96,7 @@
 
 class Died(_Seen):
     """A process was killed or ended."""
+
     invoker: str
     boot: str
 
@@ -100,6 +110,7 @@
 
 class Told(_Seen):
     """The roster sent a controller the state of an invoker's process."""
+
     controller: int
     invoker: str
     boot: str
@@ -108,6 +119,7 @@
 
 class Stalled(_Seen):
     """A controller was held by SIGSTOP until `until`."""
+
     controller: int
     until: float
 
@@ -115,6 +127,7 @@
 class Starved(_Seen):
     """A busy machine, which is no fault of its processes. Between `since` and `t` each of `waits` (c0, clients, stage,
     an invoker's boot) was ready to run for so many ms and had no core; `stolen` ms were taken from one core at most."""
+
     since: float
     waits: dict[str, float]
     stolen: float
@@ -122,6 +135,7 @@
 
 class BadLink(_Seen):
     """Until `until` what went from the controller to the place of an invoker (i0), or back, came late or never."""
+
     controller: int
     place: str
     until: float
@@ -129,17 +143,36 @@
 
 class Killed(_Seen):
     """A controller process was ended without grace."""
+
     controller: int
 
 
 class Count(_Seen):
     """A figure for the table: loads, fetches turned away and the like."""
+
     name: str
     value: float
 
 
-Seen = (Sent | Answer | NoAnswer | LeftEarly | Unreached | Came | Went | Ordered | Booted | Died | PushedOver | Told
-        | Stalled | Starved | BadLink | Killed | Count)
+Seen = (
+    Sent
+    | Answer
+    | NoAnswer
+    | LeftEarly
+    | Unreached
+    | Came
+    | Went
+    | Ordered
+    | Booted
+    | Died
+    | PushedOver
+    | Told
+    | Stalled
+    | Starved
+    | BadLink
+    | Killed
+    | Count
+)
 _DECODER = msgspec.json.Decoder(Seen)
 ENCODER = msgspec.json.Encoder()
 
--- a/sprucespool/lab/defects.py
+++ b/sprucespool/lab/defects.py
@@ -1,4 +1,5 @@
 """Seeded defects: each a build without one thing that an invariant rests on, for measuring what the search finds."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
@@ -74,16 +75,24 @@
             super().__post_init__()
             held = self.council
             self.council = kind(held.name, self.voters, held.seed, held.kept, held.limits)
+
     return Odd
 
 
-COUNCILS = {"council-votes-twice": VotesTwice, "council-minority": Minority, "council-same-term": SameTerm,
-            "council-backwards": Backwards, "council-unheld": Unheld, "council-endless": Endless}
+COUNCILS = {
+    "council-votes-twice": VotesTwice,
+    "council-minority": Minority,
+    "council-same-term": SameTerm,
+    "council-backwards": Backwards,
+    "council-unheld": Unheld,
+    "council-endless": Endless,
+}
 # Liars break nothing by themselves: the others have to bear with them.
 DEFECTS: dict[str, Build] = {
     **{name: Build(member=kind) for name, kind in MEMBERS.items() if not name.endswith("liar")},
     **{name: Build(fleet=kind) for name, kind in VIEWS.items() if not name.endswith(("liar", "-d"))},
     **{name: Build(more={"kind": kind}) for name, kind in PLANS.items() if not name.endswith("liar")},
     **{name: Build(more={"steer": kind}) for name, kind in STEERS.items()},
-    **{name: Build(more={"kind": _council(kind)}) for name, kind in COUNCILS.items()}}
+    **{name: Build(more={"kind": _council(kind)}) for name, kind in COUNCILS.items()},
+}
 BUILDS = {"sound": Build(), **DEFECTS}
--- a/sprucespool/lab/saving.py
+++ b/sprucespool/lab/saving.py
@@ -4,6 +4,7 @@
 the same Python and the same code: both stand in its head and are looked at first. As with any such file, read only
 what you wrote yourself.
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -45,6 +46,7 @@
 def save(world: DayWorld, path: Path) -> None:
     """Whole or not at all: a full disk leaves what was there before. Raises OSError."""
     import cloudpickle
+
     body = cloudpickle.dumps(world)
     head = _Head(_python(), code(), world.now, hashlib.blake2b(body, digest_size=16).hexdigest())
     part = path.with_name(path.name + ".part")
@@ -64,7 +66,7 @@
     data = path.read_bytes()
     if not data.startswith(MARK):
         raise SavedError("expected a saved world")
-    line, _, body = data[len(MARK):].partition(b"\n")
+    line, _, body = data[len(MARK) :].partition(b"\n")
     try:
         head = msgspec.json.decode(line, type=_Head)
     except msgspec.MsgspecError as problem:
--- a/sprucespool/learning/codec.py
+++ b/sprucespool/learning/codec.py
@@ -5,6 +5,7 @@
 A reader takes any version whose `least reader` it is at least: later versions append fields, which are passed over.
 Everything is bounded before it is decoded, and a page is whole or refused.
 """
+
 from __future__ import annotations
 
 import math
@@ -54,7 +55,7 @@
         raise CodecError(f"written by version {version} for readers from {least} on, this one is {VERSION}")
     if length > MOST_BYTES or len(data) != HEAD.size + length:
         raise CodecError(f"expected {length} bytes of body (at most {MOST_BYTES}), got {len(data) - HEAD.size}")
-    body = data[HEAD.size:]
+    body = data[HEAD.size :]
     if zlib.crc32(body) != crc:
         raise CodecError("the checksum does not fit the body")
     try:
@@ -64,9 +65,14 @@
     if len(found.rows) > MOST_ROWS:
         raise CodecError(f"{len(found.rows)} rows, {MOST_ROWS} are allowed")
     for number, row in enumerate(found.rows):
-        if not (math.isfinite(row.age) and 0 <= row.age <= LONGEST_AGE and 0 < row.copies <= 1000
-                and 0 < row.lanes <= 100_000 and 0 <= row.hops <= 100
-                and max(len(row.invoker), len(row.boot), len(row.model)) <= LONGEST_NAME):
+        if not (
+            math.isfinite(row.age)
+            and 0 <= row.age <= LONGEST_AGE
+            and 0 < row.copies <= 1000
+            and 0 < row.lanes <= 100_000
+            and 0 <= row.hops <= 100
+            and max(len(row.invoker), len(row.boot), len(row.model)) <= LONGEST_NAME
+        ):
             raise CodecError(f"row {number}: a figure or name out of bounds")
     if not math.isfinite(found.written_at):
         raise CodecError("expected a time of writing")
--- a/sprucespool/learning/knowledge.py
+++ b/sprucespool/learning/knowledge.py
@@ -8,6 +8,7 @@
 Clocks: a claim travels with its age. A receiver counts it from the moment at which it asked, which lies before the
 moment at which the age was told: on no way does a claim grow younger, also when two tell each other for ever.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -22,6 +23,7 @@
 class Row(msgspec.Struct, array_like=True):
     """A claim on its way: `age` ms when it was told, `hops` how often it was told on (0: the teller's own answer).
     Later versions may append fields with defaults; what is appended is passed over here."""
+
     invoker: str
     boot: str
     model: str
@@ -34,6 +36,7 @@
 @dataclass(frozen=True, slots=True)
 class Claim:
     """A claim held here: `seen_at` is the time of the sign on the own clock, never later than it was."""
+
     invoker: str
     boot: str
     model: str
@@ -53,13 +56,15 @@
 
 
 def received(row: Row, asked_at: float, source: str) -> Claim:
-    return Claim(row.invoker, row.boot, row.model, row.copies, row.lanes, asked_at - max(0.0, row.age), row.hops + 1,
-                 source)
+    return Claim(
+        row.invoker, row.boot, row.model, row.copies, row.lanes, asked_at - max(0.0, row.age), row.hops + 1, source
+    )
 
 
 def told_on(claim: Claim, now: float) -> Row:
-    return Row(claim.invoker, claim.boot, claim.model, claim.copies, claim.lanes, max(0.0, now - claim.seen_at),
-               claim.hops)
+    return Row(
+        claim.invoker, claim.boot, claim.model, claim.copies, claim.lanes, max(0.0, now - claim.seen_at), claim.hops
+    )
 
 
 class Knowledge:
--- a/sprucespool/learning/newcomer.py
+++ b/sprucespool/learning/newcomer.py
@@ -4,6 +4,7 @@
 roster names their process. A source's claims are passed on a few at first, and more as they prove right; one whose
 claims prove wrong loses all that is still believed of it. The first inference never waits for any of this.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -18,6 +19,7 @@
 class NewcomerLimits:
     """Times in ms. `allowance`: claims of a source passed on before any proved right; each `per_right` that does so
     doubles it."""
+
     at_once: int = 3
     within: float = 5_000.0
     page: int = 200
@@ -33,6 +35,7 @@
 @dataclass(frozen=True, slots=True)
 class Ask:
     """Ask the source for the page at `cursor`."""
+
     source: str
     cursor: int
     most: int
@@ -41,6 +44,7 @@
 @dataclass(frozen=True, slots=True)
 class Tell:
     """Pass on to the module; a claim without life takes an earlier word back."""
+
     claim: Claim
     life: float
 
@@ -106,7 +110,7 @@
         source.pages += 1
         if not more or source.pages >= self.limits.pages or not source.record.believed:
             source.done = True
-        claims = [received(row, asked_at, name) for row in rows[:self.limits.page]]
+        claims = [received(row, asked_at, name) for row in rows[: self.limits.page]]
         # The sign's own age decides; what can't be believed at all is not even kept.
         claims = [claim for claim in claims if self._life(now, claim) >= self.limits.least_life]
         source.held_back.extend(self.knowledge.merge(claims))
@@ -230,8 +234,11 @@
     @property
     def over(self) -> bool:
         """Nothing is asked any more and nothing told is still believed."""
-        return (all(source.done and source.asked_at is None for source in self.sources.values())
-                and not self.knowledge.claims and not any(self.untried.values()))
+        return (
+            all(source.done and source.asked_at is None for source in self.sources.values())
+            and not self.knowledge.claims
+            and not any(self.untried.values())
+        )
 
     def hops_of(self, invoker: str, boot: str, model: str) -> Claim | None:
         """The claim that a belief still rests on, where it is not the own answer."""
@@ -250,8 +257,12 @@
     def stale(self, now: float) -> bool:
         return now - self.made_at >= self.every
 
-    def made(self, now: float, known: Iterable[tuple[str, str, str, int, int, float, bool]],
-             claim_of: Callable[[str, str, str], Claim | None]) -> None:
+    def made(
+        self,
+        now: float,
+        known: Iterable[tuple[str, str, str, int, int, float, bool]],
+        claim_of: Callable[[str, str, str], Claim | None],
+    ) -> None:
         """`known`: (invoker, boot, model, copies, lanes, age, own) as the module gives them."""
         rows = []
         for invoker, boot, model, copies, lanes, age, own in known:
@@ -261,12 +272,12 @@
                 # Not the age that the module works with, which is shortened by distrust, but the sign's own.
                 rows.append(told_on(claim, now))
         rows.sort(key=lambda row: (row.hops, row.age))
-        self.rows, self.made_at = rows[:self.most], now
+        self.rows, self.made_at = rows[: self.most], now
 
     def page(self, now: float, cursor: int, most: int) -> tuple[list[Row], bool]:
         """(rows with their ages as of now, whether there are more)."""
         since = now - self.made_at
-        cut = self.rows[cursor:cursor + most]
+        cut = self.rows[cursor : cursor + most]
         rows = [_older(row, since) for row in cut]
         return rows, cursor + len(cut) < len(self.rows)
 
--- a/sprucespool/learning/trust.py
+++ b/sprucespool/learning/trust.py
@@ -1,4 +1,5 @@
 """How long a claim is believed: what is left of its keep-alive, less by the way it came and its source's record."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 @dataclass(slots=True)
 class SourceRecord:
     """What became of a source's claims once they were used."""
+
     right: int = 0
     wrong: int = 0
 
--- a/sprucespool/links.py
+++ b/sprucespool/links.py
@@ -1,4 +1,5 @@
 """What a connection's protocol looks like to the socket below it (bytes in, events and bytes out), and addresses."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
--- a/sprucespool/membership/__init__.py
+++ b/sprucespool/membership/__init__.py
@@ -2,10 +2,24 @@
 
 `Group` is one member; `Codec` its messages as bytes; `Shares` its part of what all divide.
 """
+
 from sprucespool.membership.codec import Codec, MessageError
 from sprucespool.membership.group import Group, GroupLimits
 from sprucespool.membership.messages import Event, Message, Say
 from sprucespool.membership.rows import About, Phase, Row, Seat, State, merge
 
-__all__ = ["About", "Codec", "Event", "Group", "GroupLimits", "Message", "MessageError", "Phase", "Row", "Say", "Seat",
-           "State", "merge"]
+__all__ = [
+    "About",
+    "Codec",
+    "Event",
+    "Group",
+    "GroupLimits",
+    "Message",
+    "MessageError",
+    "Phase",
+    "Row",
+    "Say",
+    "Seat",
+    "State",
+    "merge",
+]
--- a/sprucespool/membership/book.py
+++ b/sprucespool/membership/book.py
@@ -1,4 +1,5 @@
 """All rows a member holds: bounded, with marks by bucket for comparing, and the events that changes make."""
+
 from __future__ import annotations
 
 import zlib
@@ -29,6 +30,7 @@
 @dataclass(slots=True)
 class Book:
     """`me` is not among `held`."""
+
     me: Row
     most: int = 4_000
     most_gone: int = 1_024
@@ -123,8 +125,13 @@
             seats = self.names.setdefault(row.name, set())
             seats.add(row.seat)
             if len(seats) > 1 or row.name == self.me.name:
-                self.event(found.since, "twin", row, tuple(sorted(address for _, address in seats)),
-                           f"the name {row.name!r} is used at more than one address")
+                self.event(
+                    found.since,
+                    "twin",
+                    row,
+                    tuple(sorted(address for _, address in seats)),
+                    f"the name {row.name!r} is used at more than one address",
+                )
         elif not row.present and row.seat not in self.gone:
             if self.present.pop(row.seat, None) is not None:
                 self.names[row.name].discard(row.seat)
--- a/sprucespool/membership/codec.py
+++ b/sprucespool/membership/codec.py
@@ -4,6 +4,7 @@
 message of another group, a changed one, or one made up by who does not know the mark never gets in; an old one sent
 again does, and changes nothing, since news is joined and answers must have the number of an open question.
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -47,25 +48,64 @@
 
 def _row_out(row: Row) -> tuple:
     about = row.about
-    return (row.name, row.address, row.start, row.incarnation, int(row.state), row.version, about.region, about.zone,
-            about.number, about.of, about.build, int(about.phase), row.seal, list(row.accusers),
-            row.beat, list(row.figures))
+    return (
+        row.name,
+        row.address,
+        row.start,
+        row.incarnation,
+        int(row.state),
+        row.version,
+        about.region,
+        about.zone,
+        about.number,
+        about.of,
+        about.build,
+        int(about.phase),
+        row.seal,
+        list(row.accusers),
+        row.beat,
+        list(row.figures),
+    )
 
 
 def _row_in(told: tuple) -> Row:
-    (name, address, start, incarnation, state, version, region, zone, number, of, build, phase, seal, accusers,
-     beat, figures) = told
-    if (not 0 < len(name) <= LONGEST_NAME or not 0 < len(address) <= LONGEST_NAME
-            or min(start, incarnation, version, number, beat) < 0
-            or max(start, incarnation, version, number, of, beat) > _LARGEST
-            or of < 1 or max(len(region), len(zone), len(build)) > LONGEST_TEXT or len(figures) > MOST_FIGURES
-            or not all(map(math.isfinite, figures)) or len(seal) > 32 or len(accusers) > MOST_ACCUSERS
-            or any(len(accuser) > LONGEST_NAME for accuser in accusers)):
+    (
+        name,
+        address,
+        start,
+        incarnation,
+        state,
+        version,
+        region,
+        zone,
+        number,
+        of,
+        build,
+        phase,
+        seal,
+        accusers,
+        beat,
+        figures,
+    ) = told
+    if (
+        not 0 < len(name) <= LONGEST_NAME
+        or not 0 < len(address) <= LONGEST_NAME
+        or min(start, incarnation, version, number, beat) < 0
+        or max(start, incarnation, version, number, of, beat) > _LARGEST
+        or of < 1
+        or max(len(region), len(zone), len(build)) > LONGEST_TEXT
+        or len(figures) > MOST_FIGURES
+        or not all(map(math.isfinite, figures))
+        or len(seal) > 32
+        or len(accusers) > MOST_ACCUSERS
+        or any(len(accuser) > LONGEST_NAME for accuser in accusers)
+    ):
         raise MessageError("a name, figure or text of a row out of bounds")
     try:
         about = About(region, zone, number, of, build, Phase(phase))
-        return Row(name, address, start, incarnation, State(state), version, about, seal, tuple(accusers),
-                   beat, tuple(figures))
+        return Row(
+            name, address, start, incarnation, State(state), version, about, seal, tuple(accusers), beat, tuple(figures)
+        )
     except ValueError as problem:
         raise MessageError(str(problem)) from None
 
@@ -80,10 +120,20 @@
         return hashlib.blake2b(data, digest_size=SEAL, key=self.key).digest()
 
     def encode(self, message: Message) -> bytes:
-        data = _ENCODER.encode(_Wire(
-            KINDS.index(message.kind), _row_out(message.sender), *message.to, message.number, message.seat,
-            [_row_out(row) for row in message.rows], list(message.marks), list(message.buckets),
-            list(message.pass_on), message.figure))
+        data = _ENCODER.encode(
+            _Wire(
+                KINDS.index(message.kind),
+                _row_out(message.sender),
+                *message.to,
+                message.number,
+                message.seat,
+                [_row_out(row) for row in message.rows],
+                list(message.marks),
+                list(message.buckets),
+                list(message.pass_on),
+                message.figure,
+            )
+        )
         return self._sealed(data) + data
 
     def decode(self, data: bytes) -> Message:
@@ -96,12 +146,28 @@
             found: Any = _DECODER.decode(data[SEAL:])
         except (msgspec.DecodeError, RecursionError) as problem:
             raise MessageError(f"expected a message: {problem}") from None
-        if (not 0 <= found.kind < len(KINDS) or len(found.rows) > MOST_ROWS or not 0 <= found.number < _LARGEST
-                or not 0 <= found.to_start <= _LARGEST or len(found.marks) > 64 or len(found.buckets) > 64
-                or any(not 0 <= bucket < 64 for bucket in found.buckets) or len(found.pass_on) > MOST_SEATS
-                or not math.isfinite(found.figure)
-                or any(max(map(len, seat)) > LONGEST_NAME for seat in (found.seat, *found.pass_on))):
+        if (
+            not 0 <= found.kind < len(KINDS)
+            or len(found.rows) > MOST_ROWS
+            or not 0 <= found.number < _LARGEST
+            or not 0 <= found.to_start <= _LARGEST
+            or len(found.marks) > 64
+            or len(found.buckets) > 64
+            or any(not 0 <= bucket < 64 for bucket in found.buckets)
+            or len(found.pass_on) > MOST_SEATS
+            or not math.isfinite(found.figure)
+            or any(max(map(len, seat)) > LONGEST_NAME for seat in (found.seat, *found.pass_on))
+        ):
             raise MessageError("a kind, number or list out of bounds")
-        return Message(KINDS[found.kind], _row_in(found.sender), (found.to_name, found.to_start), found.number,
-                       found.seat, tuple(map(_row_in, found.rows)), tuple(found.marks), tuple(found.buckets),
-                       tuple(found.pass_on), found.figure)
+        return Message(
+            KINDS[found.kind],
+            _row_in(found.sender),
+            (found.to_name, found.to_start),
+            found.number,
+            found.seat,
+            tuple(map(_row_in, found.rows)),
+            tuple(found.marks),
+            tuple(found.buckets),
+            tuple(found.pass_on),
+            found.figure,
+        )
--- a/sprucespool/membership/conduct.py
+++ b/sprucespool/membership/conduct.py
@@ -3,6 +3,7 @@
 Against a member that hears nothing and blames everybody, and against one that lies: whoever accuses several members
 that this one has just heard from itself is not believed for a while, and is named.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/sprucespool/membership/doubts.py
+++ b/sprucespool/membership/doubts.py
@@ -1,5 +1,6 @@
 """How long a silent member may still say otherwise: the more members find it silent, the shorter (Lifeguard, Dadgar,
 Phillips and Currey, DSN 2018, section IV.B). No I/O, no clock."""
+
 from __future__ import annotations
 
 import heapq
@@ -23,12 +24,22 @@
 @dataclass(slots=True)
 class Doubts:
     """`least` and `most` ms of suspicion; `enough` accusers beyond the first bring it down to the least."""
+
     enough: int = 3
     held: dict[Seat, Doubt] = field(default_factory=dict)
     _heap: list[tuple[float, Seat]] = field(default_factory=list)
 
-    def add(self, now: float, seat: Seat, start: int, incarnation: int, accusers: set[str], least: float, most: float,
-            group: int) -> None:
+    def add(
+        self,
+        now: float,
+        seat: Seat,
+        start: int,
+        incarnation: int,
+        accusers: set[str],
+        least: float,
+        most: float,
+        group: int,
+    ) -> None:
         found = self.held.get(seat)
         if found is None or (found.start, found.incarnation) != (start, incarnation):
             found = self.held[seat] = Doubt(start, incarnation, now, set())
