--- a/sprucespool/membership/group.py
+++ b/sprucespool/membership/group.py
@@ -4,6 +4,7 @@
 repair by comparing marks of buckets of rows with a few peers of chance. Call `tick` when `due` has come and `heard` for
 each message; both give what is to be said. `take_events` gives what changed.
 """
+
 from __future__ import annotations
 
 import math
@@ -27,6 +28,7 @@
 @dataclass(frozen=True, slots=True)
 class GroupLimits:
     """Times in ms."""
+
     period: float = 1_000.0
     ack_within: float = 300.0
     helpers: int = 3
@@ -69,6 +71,7 @@
 @dataclass(slots=True)
 class _Errand:
     """A ping sent for another; `until` then a nack goes back."""
+
     asker: str
     asker_to: tuple[str, int]
     number: int
@@ -164,9 +167,11 @@
         if seen != self._counted_at:
             self._counted_at = seen
             rows = [one.row for one in self.book.present.values()]
-            self._counted = (self.me.present + sum(seat not in self._private for seat in self.book.present),
-                             max((row.about.of for row in rows), default=0),
-                             1 + sum(row.about.number == self.about.number for row in rows))
+            self._counted = (
+                self.me.present + sum(seat not in self._private for seat in self.book.present),
+                max((row.about.of for row in rows), default=0),
+                1 + sum(row.about.number == self.about.number for row in rows),
+            )
         return self._counted
 
     def take_events(self) -> list[Event]:
@@ -220,8 +225,15 @@
                 rows.append(row)
         return tuple(rows)
 
-    def _say(self, address: str, kind: str, to: tuple[str, int] = ("", 0), number: int = 0, extra: tuple[Row, ...] = (),
-             **more) -> Say:
+    def _say(
+        self,
+        address: str,
+        kind: str,
+        to: tuple[str, int] = ("", 0),
+        number: int = 0,
+        extra: tuple[Row, ...] = (),
+        **more,
+    ) -> Say:
         self.tally.said += 1
         news = () if kind in ("rows", "extra", "lend", "lent", "freed") else self._carry()
         return Say(address, Message(kind, self.me, to, number, rows=(*extra, *news), **more))
@@ -254,7 +266,8 @@
         if self.left or since < max(limits.figures_every, len(self.book.present) / limits.figures_members):
             return False
         moved = len(told) != len(figures) or any(
-            abs(new - old) > 0.25 * max(abs(new), abs(old)) for old, new in zip(told, figures, strict=True))
+            abs(new - old) > 0.25 * max(abs(new), abs(old)) for old, new in zip(told, figures, strict=True)
+        )
         if not moved and since < limits.figures_keep:
             return False
         self._weighed_at = now
@@ -280,7 +293,7 @@
         heads = max(1, math.ceil(math.sqrt(len(seats))))
         said = []
         for n in range(min(heads, len(seats))):
-            head, rest = seats[n], tuple(seats[heads + n::heads])
+            head, rest = seats[n], tuple(seats[heads + n :: heads])
             said.append(self._say(head[1], "urgent", self._to(head), extra=(row,), pass_on=rest))
         return said
 
@@ -296,8 +309,13 @@
         if self.left:
             return math.inf
         check, limits = self._check, self.limits
-        times = [self._next_period, self._next_repair, self._next_join, self.doubts.next_due(),
-                 self.shares.due(self.now)]
+        times = [
+            self._next_period,
+            self._next_repair,
+            self._next_join,
+            self.doubts.next_due(),
+            self.shares.due(self.now),
+        ]
         if check is not None and not check.helped:
             times.append(check.begun + limits.ack_within * (1 + self.health / 4))
         if self._errands:
@@ -372,7 +390,7 @@
         if len(wanted) > 3:
             # Hundreds that start together do not all ask all.
             at = self._chance(len(wanted))
-            wanted = (wanted + wanted)[at:at + 3]
+            wanted = (wanted + wanted)[at : at + 3]
         return [self._say(seed, "join", number=self._next_number(), marks=tuple(self.book.marks)) for seed in wanted]
 
     def _period(self, now: float) -> list[Say]:
@@ -387,8 +405,9 @@
             if lost:
                 seat = self._pick(lost)
                 row = self.book.gone[seat].row
-                said.append(self._say(seat[1], "digest", number=self._next_number(), extra=(row,),
-                                      marks=tuple(self.book.marks)))
+                said.append(
+                    self._say(seat[1], "digest", number=self._next_number(), extra=(row,), marks=tuple(self.book.marks))
+                )
         if self._check is None:
             target = self._next_target()
             if target is not None:
@@ -409,7 +428,7 @@
         second = self._second
         if second is not None and second in present and second not in self._private:
             return second
-        for far in ((True, False) if self._periods % self.limits.across_every == 0 else (False, True)):
+        for far in (True, False) if self._periods % self.limits.across_every == 0 else (False, True):
             turn = self._far if far else self._near
             for _ in range(2):
                 while turn:
@@ -537,8 +556,16 @@
         accusers = set(row.accusers) or {"?"}
         if full:
             accusers |= {f"?{n}" for n in range(4)}
-        self.doubts.add(now, row.seat, row.start, row.incarnation, accusers, least, least * self.limits.unconfirmed,
-                        len(self.book.present) + 1)
+        self.doubts.add(
+            now,
+            row.seat,
+            row.start,
+            row.incarnation,
+            accusers,
+            least,
+            least * self.limits.unconfirmed,
+            len(self.book.present) + 1,
+        )
 
     def _believed(self, now: float, row: Row, held: Held, teller: str) -> bool:
         """Own evidence outranks what is told: accusers of members just heard from are counted, and in the end not
@@ -558,8 +585,9 @@
 
     def _long_here(self, now: float, name: str) -> bool:
         """One that came back a moment ago tells what it saw while it was cut off: no reason to blame it."""
-        return any(now - self.book.present[seat].since > 15 * self.limits.period
-                   for seat in self.book.names.get(name, ()))
+        return any(
+            now - self.book.present[seat].since > 15 * self.limits.period for seat in self.book.names.get(name, ())
+        )
 
     def _about_me(self, now: float, row: Row, teller: str) -> bool:
         me = self.me
@@ -575,9 +603,15 @@
             return False
         if row.start < me.start or self.left:
             return False
-        if row.state is State.LEFT and sealed(row.seal) != me.seal or (
-                row.incarnation > me.incarnation + FARTHEST_LEAP or row.version > me.version + FARTHEST_VERSION
-                or row.beat > me.beat + FARTHEST_VERSION):
+        if (
+            row.state is State.LEFT
+            and sealed(row.seal) != me.seal
+            or (
+                row.incarnation > me.incarnation + FARTHEST_LEAP
+                or row.version > me.version + FARTHEST_VERSION
+                or row.beat > me.beat + FARTHEST_VERSION
+            )
+        ):
             self._refuse(now, "of this member itself what it never said", teller)
             return False
         changed = False
@@ -626,7 +660,7 @@
         said: list[Say] = []
         if rows is not None:
             for n in range(0, len(rows), PAGE):
-                said.append(self._say(to.address, kind, (to.name, 0), number, tuple(rows[n:n + PAGE])))
+                said.append(self._say(to.address, kind, (to.name, 0), number, tuple(rows[n : n + PAGE])))
             return said
         page: list[Row] = []
         covered: list[int] = []
@@ -652,7 +686,11 @@
         for row in self.book.rows_in(message.buckets):
             its = told.get(row.seat)
             if its is None or (its.start, its.life, its.version, its.beat) < (
-                    row.start, row.life, row.version, row.beat):
+                row.start,
+                row.life,
+                row.version,
+                row.beat,
+            ):
                 rows.append(row)
         return self._pages("extra", message.sender, message.number, [], rows)
 
@@ -730,8 +768,13 @@
         sender, kind, said = message.sender, message.kind, []
         held = self.book.row(sender.seat)
         # Who is thought silent, dead or somebody else hears so, and says otherwise.
-        wrong = (held,) if held is not None and held != sender and (
-            not held.present or held.state is State.SUSPECT or held.start > sender.start) else ()
+        wrong = (
+            (held,)
+            if held is not None
+            and held != sender
+            and (not held.present or held.state is State.SUSPECT or held.start > sender.start)
+            else ()
+        )
         back = (sender.name, sender.start)
         if kind in ("ping", "join"):
             said.append(self._say(sender.address, "ack", back, message.number, wrong))
@@ -743,8 +786,9 @@
                 said.append(self._say(sender.address, "ack", back, message.number))
             elif row is not None and len(self._errands) < 256:
                 number = self._next_number()
-                self._errands[number] = _Errand(sender.address, back, message.number, message.seat,
-                                                now + 0.8 * self.limits.ack_within)
+                self._errands[number] = _Errand(
+                    sender.address, back, message.number, message.seat, now + 0.8 * self.limits.ack_within
+                )
                 extra = (row,) if row.state is State.SUSPECT else ()
                 said.append(self._say(row.address, "ping", self._to(message.seat), number, extra))
         elif kind in ("ack", "nack"):
@@ -787,8 +831,9 @@
                 self.health = max(0, self.health - 1)
                 self._check = self._second = None
         elif errand is not None and message.sender.seat == errand.seat:
-            said.append(self._say(errand.asker, "ack", errand.asker_to, errand.number, (message.sender,),
-                                  seat=errand.seat))
+            said.append(
+                self._say(errand.asker, "ack", errand.asker_to, errand.number, (message.sender,), seat=errand.seat)
+            )
             self._heard_back(now)
         elif message.kind == "ack":
             self._heard_back(now)
--- a/sprucespool/membership/messages.py
+++ b/sprucespool/membership/messages.py
@@ -1,4 +1,5 @@
 """What members say to each other, and what a view tells its users. Plain data; times are float milliseconds."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -19,6 +20,7 @@
 class Message:
     """`sender` is the sender's own row. `to`: name and start of whom it is meant for, start 0 for whoever has the
     name, no name for whoever is there. `number` joins an answer to its question."""
+
     kind: str
     sender: Row
     to: tuple[str, int] = ("", 0)
@@ -34,6 +36,7 @@
 @dataclass(frozen=True, slots=True)
 class Say:
     """Send `message` to the address `to`. Nobody waits for it to arrive."""
+
     to: str
     message: Message
 
@@ -42,6 +45,7 @@
 class Event:
     """`kind`: joined, suspected, cleared, died, left, restarted, changed; and of this member itself or of others'
     conduct: isolated, answered, stalled, renumbered, twin, distrusted, refused. `epoch` numbers the events."""
+
     kind: str
     at: float
     epoch: int
--- a/sprucespool/membership/rows.py
+++ b/sprucespool/membership/rows.py
@@ -4,6 +4,7 @@
 each by itself: life by (left, incarnation, state), what the owner tells of itself by version, its figures by beat. So
 the merge is a join: order, grouping and repeats of news do not matter (`tests/test_membership.py` proves the laws).
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -32,6 +33,7 @@
 @dataclass(frozen=True, slots=True)
 class About:
     """What a member tells of itself."""
+
     region: str = ""
     zone: str = ""
     number: int = 0
@@ -45,6 +47,7 @@
     """`seal`: a hash of a secret of the process; in LEFT the secret itself, so that nobody else can say it left.
     `accusers`: who says that it is silent, a few of them. `figures`: its load and capacity, a few floats whose meaning
     is its users', numbered by the owner (`beat`); no mark counts them, as views would else never be equal for long."""
+
     name: str
     address: str
     start: int
@@ -86,8 +89,15 @@
     if life.life == less.life:
         accusers = tuple(sorted({*one.accusers, *other.accusers})[:MOST_ACCUSERS])
     beat, figures = max((one.beat, one.figures), (other.beat, other.figures))
-    return replace(told, incarnation=life.incarnation, state=life.state, seal=life.seal, accusers=accusers, beat=beat,
-                   figures=figures)
+    return replace(
+        told,
+        incarnation=life.incarnation,
+        state=life.state,
+        seal=life.seal,
+        accusers=accusers,
+        beat=beat,
+        figures=figures,
+    )
 
 
 def _content(row: Row) -> tuple:
--- a/sprucespool/membership/shares.py
+++ b/sprucespool/membership/shares.py
@@ -14,6 +14,7 @@
 It stands on what operators keep: a controller of a number starts after the one before it has ended, and all agree on
 `of`. Where members tell a larger `of`, or two tell one number, a part shrinks at once; that is a net, no proof.
 """
+
 from __future__ import annotations
 
 import math
@@ -32,6 +33,7 @@
 @dataclass(slots=True, eq=False)
 class Shares:
     """`number` of `of`; times in ms of the owner's clock."""
+
     number: int
     of: int
     start: int
@@ -53,8 +55,9 @@
         self._look(now)
 
     def _look(self, now: float):
-        if not self.ready and (self.loan <= 0 or now - self.begun >= self.loan * (1 + self.drift)
-                               or len(self.freed) >= self.of - 1):
+        if not self.ready and (
+            self.loan <= 0 or now - self.begun >= self.loan * (1 + self.drift) or len(self.freed) >= self.of - 1
+        ):
             self.ready = True
         for number, loan in list(self.borrowed.items()):
             if now >= loan.until:
@@ -71,8 +74,15 @@
 
     def may_borrow(self, now: float, number: int, start: int, of: int, asks: int) -> bool:
         """Whether to ask the leaver for a loan, with the number `asks`; the loan counts from now."""
-        if (self.closed or not self.ready or self.loan <= 0 or number == self.number or of != self.of
-                or not 0 <= number < self.of or self.newest.get(number, start) > start):
+        if (
+            self.closed
+            or not self.ready
+            or self.loan <= 0
+            or number == self.number
+            or of != self.of
+            or not 0 <= number < self.of
+            or self.newest.get(number, start) > start
+        ):
             return False
         for old, (at, _, _) in list(self.asked.items()):
             if now - at >= self.loan:
--- a/sprucespool/node/__main__.py
+++ b/sprucespool/node/__main__.py
@@ -1,4 +1,5 @@
 """`python -m sprucespool.node`: one controller, told by its environment."""
+
 import signal
 import sys
 
--- a/sprucespool/node/channel.py
+++ b/sprucespool/node/channel.py
@@ -1,4 +1,5 @@
 """The command channel: asked again at once when it breaks off or falls silent, from the last number on."""
+
 from __future__ import annotations
 
 import asyncio
--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -1,4 +1,5 @@
 """Connections of clients: accepted, watched and cut; what their requests mean is the door's."""
+
 from __future__ import annotations
 
 import asyncio
@@ -35,6 +36,7 @@
 
 class Peer:
     """One client's connection."""
+
     __slots__ = ("front", "wire", "link", "idle_since", "unread_since", "calls")
 
     def __init__(self, front: Front):
--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -1,4 +1,5 @@
 """Connections to one invoker: opened at need, spared where they are silent, closed when idle."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -23,10 +24,17 @@
 class Ask:
     """Something asked of the invoker. `heard` gets its end, once: an answer, or the outcome without one. None after
     `give_up`."""
+
     __slots__ = ("invoker", "tag", "write", "heard", "conn", "at", "over")
 
-    def __init__(self, invoker: Invoker, tag: str, write: Callable[[InvokerLink], None],
-                 heard: Callable[[Answer | it.Outcome], None], now: float):
+    def __init__(
+        self,
+        invoker: Invoker,
+        tag: str,
+        write: Callable[[InvokerLink], None],
+        heard: Callable[[Answer | it.Outcome], None],
+        now: float,
+    ):
         self.invoker, self.tag, self.write, self.heard, self.at = invoker, tag, write, heard, now
         self.conn: _Conn | None = None
         self.over = False
@@ -100,8 +108,7 @@
 class Invoker(Opener[_Conn, Ask]):
     """All that goes to one process of an invoker at one address."""
 
-    def __init__(self, place: Place, limits: PoolLimits, streams: int, seed: int,
-                 told: Callable[[str, str], None]):
+    def __init__(self, place: Place, limits: PoolLimits, streams: int, seed: int, told: Callable[[str, str], None]):
         super().__init__(place.host, place.port, limits, seed)
         self.place, self.streams, self.told = place, streams, told
 
@@ -114,8 +121,7 @@
     def not_connected(self, why: str) -> None:
         self.told("not connected", why)
 
-    def ask(self, tag: str, write: Callable[[InvokerLink], None],
-            heard: Callable[[Answer | it.Outcome], None]) -> Ask:
+    def ask(self, tag: str, write: Callable[[InvokerLink], None], heard: Callable[[Answer | it.Outcome], None]) -> Ask:
         ask = Ask(self, tag, write, heard, self.now())
         self.waiting.append(ask)
         if len(self.waiting) == 1:
--- a/sprucespool/node/logs.py
+++ b/sprucespool/node/logs.py
@@ -1,4 +1,5 @@
 """Lines on standard error: few unless asked for, enough then to explain one inference."""
+
 from __future__ import annotations
 
 import sys
--- a/sprucespool/node/serve.py
+++ b/sprucespool/node/serve.py
@@ -1,4 +1,5 @@
 """One controller process on the platform, from its configuration to its end."""
+
 from __future__ import annotations
 
 import asyncio
@@ -32,8 +33,14 @@
     async def start(self) -> int:
         """Gives the port. Raises OSError where the address can't be had."""
         self.door.start()
-        self.channel = Channel(self.plan.channel_host, self.plan.channel_port, self.door.roster, self.door.rostered,
-                               self.log, self.plan.seed)
+        self.channel = Channel(
+            self.plan.channel_host,
+            self.plan.channel_port,
+            self.door.roster,
+            self.door.rostered,
+            self.log,
+            self.plan.seed,
+        )
         return await self.door.front.start(self.plan.host, self.plan.port)
 
     def reread(self) -> None:
@@ -85,8 +92,14 @@
         ending.set()
     if signal.SIGHUP in early:
         node.reread()
-    log.info("listening", address=f"{plan.host}:{port}", name=plan.name, invokers=len(node.door.roster.places),
-             memory_mb=plan.memory_mb, sockets=plan.sockets)
+    log.info(
+        "listening",
+        address=f"{plan.host}:{port}",
+        name=plan.name,
+        invokers=len(node.door.roster.places),
+        memory_mb=plan.memory_mb,
+        sockets=plan.sockets,
+    )
     # What stands after the start lives as long as the process: the collector need not look through it again.
     gc.collect()
     gc.freeze()
@@ -94,9 +107,16 @@
     await ending.wait()
     log.info("stopping", owed=len(node.door.clients))
     left = await node.stop()
-    log.info("stopped", failed_at_the_end=left, turned_away=node.door.turned_away, accepted=node.door.front.accepted,
-             cut=node.door.front.bad, evicted=node.door.front.evicted, channel=node.channel and node.channel.connected,
-             counts=json.dumps(node.door.gateway.counts.as_dict()))
+    log.info(
+        "stopped",
+        failed_at_the_end=left,
+        turned_away=node.door.turned_away,
+        accepted=node.door.front.accepted,
+        cut=node.door.front.bad,
+        evicted=node.door.front.evicted,
+        channel=node.channel and node.channel.connected,
+        counts=json.dumps(node.door.gateway.counts.as_dict()),
+    )
     return 0
 
 
--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -4,6 +4,7 @@
 of what happened; the answer is the list of what to do, in order. Everything handed in and out is defined in
 `sprucespool/interface.py`; each fact's `belief` slot is this module's own. Times are float milliseconds.
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -16,9 +17,38 @@
 from types import SimpleNamespace
 
 from sprucespool.interface import (
-    Arrived, Beliefs, BeliefsAsked, CallOff, Departed, Deployment, Doubted, Effect, Ended, Fail, Forward,
-    Found, Inference, Model, ModelGroup, News, Order, OrderSettled, Outcome, RosterEntry, RosterNews,
-    Scope, SetTimer, Sharing, Shed, Standing, Status, Streaming, Subscribe, TimerDue, Told)
+    Arrived,
+    Beliefs,
+    BeliefsAsked,
+    CallOff,
+    Departed,
+    Deployment,
+    Doubted,
+    Effect,
+    Ended,
+    Fail,
+    Forward,
+    Found,
+    Inference,
+    Model,
+    ModelGroup,
+    News,
+    Order,
+    OrderSettled,
+    Outcome,
+    RosterEntry,
+    RosterNews,
+    Scope,
+    SetTimer,
+    Sharing,
+    Shed,
+    Standing,
+    Status,
+    Streaming,
+    Subscribe,
+    TimerDue,
+    Told,
+)
 
 PULSE, DUE, PULSE_EVERY = 1, 2, 200.0
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.NOT_SENT, Outcome.MISS)
@@ -57,6 +87,7 @@
 
 class _Pod:
     """What is believed of one process of an invoker."""
+
     def __init__(self, entry: RosterEntry, now: float, dep: Deployment):
         self.entry, self.zone, self.kind, self.started = entry, entry.zone, entry.kind, entry.started
         self.warm_at = entry.started and entry.started + dep.warm_after
@@ -139,11 +170,18 @@
         self.kinds, self.slowness, self.rates, self.even, self.bare, self.averaged = {}, {}, {}, 0.0, 1.0, 0.0
         self.traffic, self.traffic_at, self.memory = 0.0, 0.0, max(deployment.keep_alive, 1.0)
         self.handlers = {
-            Arrived: self._arrived, Ended: self._ended, OrderSettled: self._settled, TimerDue: self._timer,
-            RosterNews: self._roster, Told: self._told, BeliefsAsked: self._give,
-            Sharing: self._sharing, Doubted: self._rumoured,
+            Arrived: self._arrived,
+            Ended: self._ended,
+            OrderSettled: self._settled,
+            TimerDue: self._timer,
+            RosterNews: self._roster,
+            Told: self._told,
+            BeliefsAsked: self._give,
+            Sharing: self._sharing,
+            Doubted: self._rumoured,
             Departed: lambda event: self._close(event.inference),
-            Streaming: lambda event: self._close(event.forward.inference, event.forward)}
+            Streaming: lambda event: self._close(event.forward.inference, event.forward),
+        }
 
     def handle(self, now: float, events: list) -> list:
         self.now = now
@@ -165,8 +203,12 @@
             return
         named = {entry.invoker: None for entry in news.entries}
         gone = [pod for pod in self.pods if news.kind is not News.UPDATE and pod.entry.invoker not in named]
-        gone += [entry.invoker.belief for entry in news.entries if entry.invoker.belief and (
-            entry.status is not Status.IN_SERVICE or entry.started != entry.invoker.belief.started)]
+        gone += [
+            entry.invoker.belief
+            for entry in news.entries
+            if entry.invoker.belief
+            and (entry.status is not Status.IN_SERVICE or entry.started != entry.invoker.belief.started)
+        ]
         for pod in gone:
             pod.serving = False
             self.ill.pop(pod, None)
@@ -274,8 +316,10 @@
         spread = thin and places > 1
 
         def ready(pod: _Pod) -> bool:
-            return ((shared or not pod.suspect) and pod.work + mind.luck < pod.window * part
-                    and self._may_forward(inf, pod))
+            return (
+                (shared or not pod.suspect) and pod.work + mind.luck < pod.window * part and self._may_forward(inf, pod)
+            )
+
         # The queue first: the fleet is looked through only for what it can't take. Level by level: of the
         # hundreds of copies of a favourite only the least-loaded are weighed.
         busy, lanes, past = mdl.busy, mdl.lanes, mind.tried
@@ -292,9 +336,17 @@
 
         def has_room(pod: _Pod) -> bool:
             # One that left may still have a load here until its turn to be struck comes.
-            return (pod.serving and (shared or not pod.suspect) and pod.full_until <= now and pod not in past
-                    and (inf.zones is None or _open(inf, pod)) and pod.unfit_until <= now and pod.work + mind.luck < pod.window * part
-                    and (anywhere and pod.warm_at <= now or self._may_forward(inf, pod)))
+            return (
+                pod.serving
+                and (shared or not pod.suspect)
+                and pod.full_until <= now
+                and pod not in past
+                and (inf.zones is None or _open(inf, pod))
+                and pod.unfit_until <= now
+                and pod.work + mind.luck < pod.window * part
+                and (anywhere and pod.warm_at <= now or self._may_forward(inf, pod))
+            )
+
         # Those tried before only where nothing else has room.
         while True:
             open_places = [pod for pod in self._turns(mdl).order[:places] if has_room(pod)] if spread else []
@@ -303,8 +355,7 @@
                     # Against a connection to each place, priced over hundreds of controllers: no more of them
                     # than own calls renew, by a draw of the controller's own, the same for all models.
                     most = math.ceil(mdl.part / RENEWED_BY)
-                    open_places = heapq.nlargest(
-                        most, open_places, key=lambda pod: self.salt * pod.salt % PRIME)
+                    open_places = heapq.nlargest(most, open_places, key=lambda pod: self.salt * pod.salt % PRIME)
                 return self._forward(inf, self._least(open_places))
             if self._beyond(inf, mdl, warm, has_room):
                 return
@@ -318,8 +369,13 @@
         load_time = mdl.load_time if mdl.load_time and not self.loading.seen else self.loading.mean
         most = mdl.lanes * load_time / max(1.0, self.usual[inf.group].mean)
         queue = {pod: mdl.busy.get(pod, 0) / mdl.warm[pod][1] for pod in warm}
-        queue.update({load.pod: len(load.waiting) + mdl.busy.get(load.pod, 0)
-                      for load in mdl.loads.values() if has_room(load.pod)})
+        queue.update(
+            {
+                load.pod: len(load.waiting) + mdl.busy.get(load.pod, 0)
+                for load in mdl.loads.values()
+                if has_room(load.pod)
+            }
+        )
         best = queue and self._first([(waits, len(pod.out)) for pod, waits in queue.items()], list(queue))
         bare = None
         if len(self.loads) < self._load_window() and not (best and queue[best] < most):
@@ -387,10 +443,9 @@
         each would load its own. Ordered anew when needed: most inferences find a warm lane and never ask."""
         turns = mdl.turns
         if turns.ranked != self.rosters:
-            old, slow = turns.draws, {kind: 1.5 ** steps for kind, steps in self.slowness.items()}
+            old, slow = turns.draws, {kind: 1.5**steps for kind, steps in self.slowness.items()}
             turns.draws = {pod: old.get(pod) or self._shared_draw(turns, pod) for pod in self.pods}
-            turns.order = sorted(self.pods, key=lambda pod: (
-                pod.far, turns.draws[pod] * slow.get(pod.kind, 1.0)))
+            turns.order = sorted(self.pods, key=lambda pod: (pod.far, turns.draws[pod] * slow.get(pod.kind, 1.0)))
             turns.ranks, turns.ranked = {pod: n for n, pod in enumerate(turns.order)}, self.rosters
         return turns
 
@@ -487,8 +542,11 @@
         load = self._order(mdl, pod) if pod.serving else None
         if load:
             return self._hold(inf, load)
-        warm = [other for other in self._healthy() if other in mdl.warm
-                and self._may_repeat(inf) and self._may_forward(inf, other)]
+        warm = [
+            other
+            for other in self._healthy()
+            if other in mdl.warm and self._may_repeat(inf) and self._may_forward(inf, other)
+        ]
         self._forward(inf, self._least(warm)) if warm else self._finish(inf)
 
     def _load_window(self) -> float:
@@ -542,21 +600,27 @@
     def _may_repeat(self, inf: Inference) -> bool:
         """Whether any invoker could still be sent the inference, as far as its own past goes."""
         mind, group = inf.belief, inf.group
-        if (len(inf.forwards) >= self.dep.most_forwards or self.now >= mind.until
-                or mind.out and not self.dep.may_duplicate):
+        if (
+            len(inf.forwards) >= self.dep.most_forwards
+            or self.now >= mind.until
+            or mind.out
+            and not self.dep.may_duplicate
+        ):
             return False
         if group.effect is Effect.NON_RETRIABLE:
             return not mind.ran and not mind.out
-        return group.effect is Effect.RETRIABLE or all(self.now - at < group.dedup_window
-                                                       for _, at in self._perhaps_ran(mind))
+        return group.effect is Effect.RETRIABLE or all(
+            self.now - at < group.dedup_window for _, at in self._perhaps_ran(mind)
+        )
 
     def _may_forward(self, inf: Inference, pod: _Pod) -> bool:
         group = inf.group
         if not pod.serving or pod.full_until > self.now or inf.zones is not None and not _open(inf, pod):
             return False
         if group.scope is not Scope.ALL and any(
-                other.zone != pod.zone or group.scope is Scope.CELL and other.entry.cell != pod.entry.cell
-                for other, _ in self._perhaps_ran(inf.belief)):
+            other.zone != pod.zone or group.scope is Scope.CELL and other.entry.cell != pod.entry.cell
+            for other, _ in self._perhaps_ran(inf.belief)
+        ):
             return False
         return not self._cold(pod) or self._cold_room(pod, self.usual[group].mean)
 
@@ -565,8 +629,12 @@
 
     def _may_shed(self, inf: Inference) -> bool:
         group = inf.group
-        return (group.effect is Effect.RETRIABLE or not self._perhaps_ran(inf.belief)
-                or group.effect is Effect.DEDUPED and group.scope is Scope.ALL)
+        return (
+            group.effect is Effect.RETRIABLE
+            or not self._perhaps_ran(inf.belief)
+            or group.effect is Effect.DEDUPED
+            and group.scope is Scope.ALL
+        )
 
     def _may_order(self, pod: _Pod) -> bool:
         dep = self.dep
@@ -703,9 +771,12 @@
 
     def _give(self, event: BeliefsAsked):
         born = self.now + self.dep.keep_alive
-        standing = [Standing(pod.entry.invoker, mdl.model, copies, mdl.lanes, born - until,
-                             pod not in mdl.told)
-                    for mdl in self.known for pod, (until, copies) in mdl.warm.items() if until > self.now]
+        standing = [
+            Standing(pod.entry.invoker, mdl.model, copies, mdl.lanes, born - until, pod not in mdl.told)
+            for mdl in self.known
+            for pod, (until, copies) in mdl.warm.items()
+            if until > self.now
+        ]
         self.actions.append(Beliefs(event.token, standing))
 
     def _settled(self, event: OrderSettled):
--- a/sprucespool/relay/configuration.py
+++ b/sprucespool/relay/configuration.py
@@ -1,4 +1,5 @@
 """The controller's configuration file: JSON, with the simulator's settings as nested objects."""
+
 from __future__ import annotations
 
 import zlib
@@ -53,6 +54,7 @@
 
     def plain(value: Any) -> str:
         return ("true" if value else "false") if isinstance(value, bool) else str(value)
+
     put("", settings)
     return pairs
 
@@ -90,6 +92,7 @@
         if isinstance(value, bool) or not isinstance(value, int | float) or not value >= least:
             raise ConfigurationError(f"expected limits.{name} as a number of at least {least:g}, got {value!r}")
         return float(value)
+
     settings = inside(told, "settings", dict, "settings")
     limits = inside(told, "limits", dict, "limits")
     known = inside(told, "known", dict, "known")
@@ -101,6 +104,16 @@
         idle, streams = pairs.number("ceilings.idleClose", 0.0), pairs.number("ceilings.streamsPerConn", 0.0)
     except Malformed as problem:
         raise ConfigurationError(f"settings: {problem}") from None
-    return Configuration(str(told.get("name", "")), *place("listen"), _seed(told.get("seed")),
-                         limit("memory_mb", 1.0, 1e9), int(limit("sockets", 32.0, 1024.0)), *place("channel"),
-                         cursor, commands, dep, idle or 15_000.0, int(streams) or 100)
+    return Configuration(
+        str(told.get("name", "")),
+        *place("listen"),
+        _seed(told.get("seed")),
+        limit("memory_mb", 1.0, 1e9),
+        int(limit("sockets", 32.0, 1024.0)),
+        *place("channel"),
+        cursor,
+        commands,
+        dep,
+        idle or 15_000.0,
+        int(streams) or 100,
+    )
--- a/sprucespool/relay/feed.py
+++ b/sprucespool/relay/feed.py
@@ -1,4 +1,5 @@
 """The command channel: HTTP and server-sent events of one connection, and the roster that its events carry."""
+
 from __future__ import annotations
 
 import math
@@ -28,6 +29,7 @@
 @dataclass(slots=True)
 class Told:
     """One event: its number, and what it says."""
+
     number: int
     data: bytes
 
@@ -37,8 +39,13 @@
 
     def __init__(self, host: str, last: int):
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=LARGEST_EVENT)
-        self.out = self.http.send(h11.Request(method="GET", target=PATH, headers=[
-            ("Host", host), ("Accept", "text/event-stream"), ("Last-Event-ID", str(last))]))
+        self.out = self.http.send(
+            h11.Request(
+                method="GET",
+                target=PATH,
+                headers=[("Host", host), ("Accept", "text/event-stream"), ("Last-Event-ID", str(last))],
+            )
+        )
         self.out = (self.out or b"") + (self.http.send(h11.EndOfMessage()) or b"")
         self.rest = b""
         self.number: int | None = None
@@ -93,6 +100,7 @@
 @dataclass(slots=True, frozen=True)
 class Place:
     """Where one process of an invoker listens."""
+
     host: str
     port: int
     boot: str
@@ -163,6 +171,7 @@
             if not isinstance(value, str) or not value:
                 raise EntryError(f"event {number}: expected {name} as text, got {value!r}")
             return value
+
         name, state = text("host"), text("health")
         if state not in STATES:
             raise EntryError(f"event {number}: expected health as one of {', '.join(STATES)}, got {state!r}")
@@ -179,6 +188,14 @@
         for what, figure in (("born_ms", born), ("share", size)):
             if not isinstance(figure, int | float) or not math.isfinite(figure):
                 raise EntryError(f"event {number}: expected {what} as a number, got {figure!r}")
-        row = ms.Row(name, str(host.get("site", "")), str(host.get("class", "")), str(host.get("block", "")),
-                     status.value, float(size), str(born), unix - born if born else None)
+        row = ms.Row(
+            name,
+            str(host.get("site", "")),
+            str(host.get("class", "")),
+            str(host.get("block", "")),
+            status.value,
+            float(size),
+            str(born),
+            unix - born if born else None,
+        )
         return row, Place(at, port, str(born))
--- a/sprucespool/relay/frames.py
+++ b/sprucespool/relay/frames.py
@@ -2,6 +2,7 @@
 
 A client that sends what no client may send is cut off with its whole connection: nothing of it can be trusted then.
 """
+
 from __future__ import annotations
 
 import math
@@ -39,6 +40,7 @@
 @dataclass(slots=True, eq=False)
 class Request:
     """An inference as a client asks for it."""
+
     stream: int
     id: str
     group: str
@@ -76,11 +78,11 @@
     for _ in range(count):
         pair = []
         for width in NAME_SIZE, VALUE_SIZE:
-            stop = at + width + int.from_bytes(data[at:at + width], "big")
+            stop = at + width + int.from_bytes(data[at : at + width], "big")
             if at + width > end or stop > end:
                 raise FrameError("expected whole fields")
             try:
-                pair.append(data[at + width:stop].decode())
+                pair.append(data[at + width : stop].decode())
             except UnicodeDecodeError:
                 raise FrameError("expected names and values as text") from None
             at = stop
@@ -111,6 +113,7 @@
             if not pattern.match(value):
                 raise RequestError(f"expected {name} as {what}, got {value[:40]!r}")
             return value
+
         group = self.groups.get(fields.get("class", ""))
         if group is None:
             raise RequestError(f"expected class as in the settings, got {fields.get('class', '')[:40]!r}")
@@ -136,10 +139,20 @@
         if lanes is not None and not (1 <= lanes <= LARGEST_LANES and lanes == int(lanes)):
             raise RequestError(f"expected attrs lanes as a whole number from 1 to {LARGEST_LANES}, got {lanes}")
         return Request(
-            stream, text("id", _ID, "16 hex digits"), group.name, text("key", _ID, "16 hex digits"),
-            _figure("wait", fields.get("wait", ""), 1.0, group.route_timeout + WAIT_SLACK), tenant, once, retry == "1",
-            figures.get("cost"), figures.get("memory_mb"), None if lanes is None else int(lanes),
-            figures.get("load_ms"), body)
+            stream,
+            text("id", _ID, "16 hex digits"),
+            group.name,
+            text("key", _ID, "16 hex digits"),
+            _figure("wait", fields.get("wait", ""), 1.0, group.route_timeout + WAIT_SLACK),
+            tenant,
+            once,
+            retry == "1",
+            figures.get("cost"),
+            figures.get("memory_mb"),
+            None if lanes is None else int(lanes),
+            figures.get("load_ms"),
+            body,
+        )
 
 
 def _figure(name: str, value: str, least: float, most: float) -> float:
@@ -174,7 +187,7 @@
         events: list[Event] = []
         at, size = 0, len(read)
         while size - at >= HEAD:
-            length = int.from_bytes(read[at:at + HEAD], "big")
+            length = int.from_bytes(read[at : at + HEAD], "big")
             if not SMALLEST <= length <= LARGEST:
                 raise self._bad(0, FrameError(f"expected a length of {SMALLEST} to {LARGEST}, got {length}"))
             if size - at < HEAD + length:
@@ -186,7 +199,7 @@
         return events
 
     def _frame(self, read: bytes, at: int, end: int, events: list[Event]):
-        kind, stream = read[at], int.from_bytes(read[at + 1:at + 5], "big")
+        kind, stream = read[at], int.from_bytes(read[at + 1 : at + 5], "big")
         self.frames += 1
         if kind == ASKED:
             # Against answers under one number that belong to two requests.
--- a/sprucespool/relay/lines.py
+++ b/sprucespool/relay/lines.py
@@ -3,6 +3,7 @@
 Nothing is trusted that was not asked for: answers under unknown ids are skipped, what can't be read ends the
 connection, and a length told is never allocated before its bytes came.
 """
+
 from __future__ import annotations
 
 import math
@@ -21,8 +22,13 @@
 
 RUN, ORDER, PROBE = "run", "order", "probe"
 OUTCOMES = {
-    RUN: {b"HIT": it.Outcome.RETURNED, b"NONE": it.Outcome.MISS, b"SHED": it.Outcome.FULL, b"FAULT": it.Outcome.ERROR,
-          b"LATE": it.Outcome.NOT_SENT},
+    RUN: {
+        b"HIT": it.Outcome.RETURNED,
+        b"NONE": it.Outcome.MISS,
+        b"SHED": it.Outcome.FULL,
+        b"FAULT": it.Outcome.ERROR,
+        b"LATE": it.Outcome.NOT_SENT,
+    },
     ORDER: {b"HIT": it.Outcome.RETURNED, b"SHED": it.Outcome.FULL, b"FAULT": it.Outcome.ERROR},
     PROBE: {b"PONG": it.Outcome.RETURNED, b"SICK": it.Outcome.ERROR},
 }
@@ -38,6 +44,7 @@
 @dataclass(slots=True, eq=False)
 class Answer:
     """The end of a run, an order or a probe, under the tag it was asked with."""
+
     tag: str
     outcome: it.Outcome
     found: it.Found = it.Found.UNTOLD
@@ -161,7 +168,7 @@
             return None
         parts = read[at:stop].split(b" ")
         if len(parts) != 4 or parts[1] not in WORDS or not _WORD.match(parts[0]) or not _LENGTH.match(parts[3]):
-            raise LineError(f"expected ID WORD FIELDS LENGTH, got {read[at:min(stop, at + 80)]!r}")
+            raise LineError(f"expected ID WORD FIELDS LENGTH, got {read[at : min(stop, at + 80)]!r}")
         length = int(parts[3])
         if length > LARGEST_BODY:
             raise LineError(f"expected a body of at most {LARGEST_BODY} bytes, got {length}")
@@ -169,10 +176,10 @@
         end = begin + length
         if len(read) < end + len(END):
             self.rest.need = end + len(END) - at
-            if len(read) > end and read[end:end + 1] != END[:1]:
+            if len(read) > end and read[end : end + 1] != END[:1]:
                 raise LineError("expected a line's end after the body")
             return None
-        if read[end:end + len(END)] != END:
+        if read[end : end + len(END)] != END:
             raise LineError("expected a line's end after the body")
         tag = parts[0].decode()
         kind = self.open.get(tag)
@@ -185,9 +192,15 @@
             raise LineError(f"expected the end of {kind}, got {parts[1]!r}")
         tell = fields.get("tell", "")
         answer = Answer(
-            tag, outcome, FOUND.get(tell, it.Found.UNTOLD) if outcome is it.Outcome.RETURNED else it.Found.UNTOLD,
-            tell == LOAD_FAILED, _whole("same", fields.get("same", "0")), _whole("n", fields.get("n", "0")),
-            _report(fields.get("meter", "")), read[begin:end])
+            tag,
+            outcome,
+            FOUND.get(tell, it.Found.UNTOLD) if outcome is it.Outcome.RETURNED else it.Found.UNTOLD,
+            tell == LOAD_FAILED,
+            _whole("same", fields.get("same", "0")),
+            _whole("n", fields.get("n", "0")),
+            _report(fields.get("meter", "")),
+            read[begin:end],
+        )
         del self.open[tag]
         return answer, end + len(END)
 
--- a/sprucespool/relay/rest.py
+++ b/sprucespool/relay/rest.py
@@ -1,10 +1,12 @@
 """What was read of a connection and could not be used yet."""
+
 from __future__ import annotations
 
 
 class Rest:
     """Bytes of a message that is not whole. One that comes byte by byte is not copied with each of them: `need` is how
     many bytes it is known to take."""
+
     __slots__ = ("data", "need", "since")
 
     def __init__(self) -> None:
--- a/sprucespool/settings/controller.py
+++ b/sprucespool/settings/controller.py
@@ -1,4 +1,5 @@
 """What an operator says of one controller, and the deployment facts that follow from it."""
+
 from __future__ import annotations
 
 import fnmatch
@@ -32,6 +33,7 @@
 
 class Place(msgspec.Struct, forbid_unknown_fields=True):
     """Which of how many controllers this is."""
+
     number: int = 0
     of: int = 1
     zone: str = ""
@@ -44,6 +46,7 @@
 
 class RosterSource(msgspec.Struct):
     """Where the list of invokers comes from: a roster service, or a file that is watched."""
+
     watch: str | None = None
     file: str | None = None
     # True: the decision module says when to subscribe; else the daemon does by itself.
@@ -61,6 +64,7 @@
 
 class Group(msgspec.Struct):
     """A model group."""
+
     __args__ = ("name",)
     name: str
     slo_time: Duration
@@ -100,6 +104,7 @@
 
 class ModelFacts(msgspec.Struct):
     """What holds for models whose name fits the pattern, where the inference itself does not tell."""
+
     __args__ = ("pattern",)
     pattern: str
     group: str | None = None
@@ -111,6 +116,7 @@
 
 class Fleet(msgspec.Struct):
     """What is known of the invokers, and the guards that go with it."""
+
     drain_grace: Duration = 2_000.0
     cold_share: float = 0.25
     warm_after: Duration = 15_000.0
@@ -144,6 +150,7 @@
 
 class Orders(msgspec.Struct):
     """Orders to load: whether there are any, and their ration (none where `window` is 0)."""
+
     allowed: bool = True
     time_out: Duration = 10_000.0
     floor: float = 0.0
@@ -160,6 +167,7 @@
 
 class Bounds(msgspec.Struct):
     """Limits of the serving side; each one that is met is answered with a status of its own."""
+
     connections: int = 4096
     streams: int = 1000
     headers: Bytes = 16_384
@@ -186,6 +194,7 @@
 
 class ToInvokers(msgspec.Struct):
     """Connections to each invoker."""
+
     connections: int = 4
     streams: int = 100
     idle_close: Duration = 30_000.0
@@ -210,6 +219,7 @@
 
 class Peer(msgspec.Struct):
     """Another controller that may be sent notes."""
+
     __args__ = ("number", "address")
     number: int
     address: str
@@ -220,6 +230,7 @@
 
 class Source(msgspec.Struct):
     """A controller that may be asked what it knows."""
+
     __args__ = ("address",)
     address: str
 
@@ -229,6 +240,7 @@
 
 class Seed(msgspec.Struct):
     """A controller through which the group is found."""
+
     __args__ = ("address",)
     address: str
 
@@ -238,6 +250,7 @@
 
 class GroupPlan(msgspec.Struct):
     """The group of controllers. Without this node nothing is said to any other and nothing heard of any."""
+
     __args__ = ("name",)
     name: str
     # What all members share and nobody else knows.
@@ -265,6 +278,7 @@
 
 class FleetView(msgspec.Struct):
     """The view of the invokers that the group keeps in common. Without this node each goes by its own roster."""
+
     # A forward out for so long without a word makes an invoker silent in this controller's eyes; longer than a load.
     silent_after: Duration = 1_500.0
     # Controllers that must agree before an invoker is left aside for what others see; the part of a zone that may be.
@@ -285,6 +299,7 @@
 
 class ZonePlace(msgspec.Struct):
     """A zone of invokers and controllers, and the region it lies in."""
+
     __args__ = ("zone",)
     zone: str
     region: str
@@ -292,6 +307,7 @@
 
 class Distance(msgspec.Struct):
     """What it costs to go from one zone to another, and back: ms of the way or whatever else is counted."""
+
     __args__ = ("one", "other", "cost")
     one: str
     other: str
@@ -304,12 +320,14 @@
 
 class Voter(msgspec.Struct):
     """A member of the group that has a vote in what plan is in force."""
+
     __args__ = ("member",)
     member: str
 
 
 class FailoverPlan(msgspec.Struct):
     """Plans of zones that the group decides and follows. Without this node every inference may go anywhere."""
+
     zones: list[ZonePlace] = []
     voters: list[Voter] = []
     distances: list[Distance] = []
@@ -345,6 +363,7 @@
 
 class Learning(msgspec.Struct):
     """What a new controller may be told. Without this node nothing is asked, answered or written."""
+
     sources: list[Source] = []
     within: Duration = 5_000.0
     # Members of the group may be asked as well, without being named here.
@@ -357,6 +376,7 @@
 
 class ControllerPlan(msgspec.Struct):
     """All of a controller's file."""
+
     listen: str
     roster: RosterSource
     model_groups: list[Group]
@@ -397,8 +417,10 @@
             raise ValueError(f"failover: expected the controller's own zone {self.controller.zone!r} among its zones")
         if self.fleet_view is not None and self.roster.asked:
             raise ValueError("fleet-view: expected a roster that is not asked: the view tells the module by itself")
-        for what, names in (("model-group", [group.name for group in self.model_groups]),
-                            ("tenant", [tenant.name for tenant in self.tenants])):
+        for what, names in (
+            ("model-group", [group.name for group in self.model_groups]),
+            ("tenant", [tenant.name for tenant in self.tenants]),
+        ):
             for name in names:
                 if names.count(name) > 1:
                     raise ValueError(f"{what} {name!r} is given twice")
@@ -424,6 +446,7 @@
 
 class Invokers(msgspec.Struct):
     """A roster file: for a user with ten fixed invokers."""
+
     invokers: list[InvokerLine] = []
 
     def __post_init__(self):
@@ -436,22 +459,61 @@
 def deployment(plan: ControllerPlan) -> it.Deployment:
     """The facts that the decision module is handed."""
     fleet, forwards, orders, answers = plan.fleet, plan.forwards, plan.orders, plan.answers
-    groups = [it.ModelGroup(g.name, g.slo_time, 0.0, g.route_timeout, g.value, g.late_value, EFFECTS[g.effect],
-                            SCOPES[g.scope], g.dedup_window, g.streamed) for g in plan.model_groups]
+    groups = [
+        it.ModelGroup(
+            g.name,
+            g.slo_time,
+            0.0,
+            g.route_timeout,
+            g.value,
+            g.late_value,
+            EFFECTS[g.effect],
+            SCOPES[g.scope],
+            g.dedup_window,
+            g.streamed,
+        )
+        for g in plan.model_groups
+    ]
     return it.Deployment(
-        controllers=plan.controller.of, own_number=plan.controller.number, own_zone=plan.controller.zone,
-        groups=groups, tenants=[it.Tenant(t.name, t.share, t.quota) for t in plan.tenants],
-        over_share_value=0.1, tick=answers.margin, answer_slack=answers.margin, drain_grace=fleet.drain_grace,
-        cold_share=fleet.cold_share, warm_after=fleet.warm_after, fall_multiple=fleet.fall_multiple,
-        fall_window=fleet.fall_window, roster_asked=plan.roster.asked, ask_every=plan.roster.ask_every,
-        may_call_off=forwards.call_off, may_probe=False, may_duplicate=forwards.duplicate,
-        may_message=bool(plan.peers), may_order=orders.allowed, tells_retry_after=answers.retry_after,
-        longest_retry_after=answers.longest_retry_after, most_forwards=forwards.most,
-        connect_timeout=forwards.connect_timeout, keep_alive=fleet.keep_alive,
-        loads_on_miss=fleet.loads_on_miss, order_timeout=orders.time_out, order_floor=orders.floor,
-        order_share=orders.share, order_window=orders.window, tells_found=fleet.tells_found,
-        tells_same_model=fleet.tells_same_model, valued_by_work=False, report_fields=[], report_meanings={},
-        memory_mb={}, crossing_price=fleet.crossing_price, handshake_price=fleet.handshake_price)
+        controllers=plan.controller.of,
+        own_number=plan.controller.number,
+        own_zone=plan.controller.zone,
+        groups=groups,
+        tenants=[it.Tenant(t.name, t.share, t.quota) for t in plan.tenants],
+        over_share_value=0.1,
+        tick=answers.margin,
+        answer_slack=answers.margin,
+        drain_grace=fleet.drain_grace,
+        cold_share=fleet.cold_share,
+        warm_after=fleet.warm_after,
+        fall_multiple=fleet.fall_multiple,
+        fall_window=fleet.fall_window,
+        roster_asked=plan.roster.asked,
+        ask_every=plan.roster.ask_every,
+        may_call_off=forwards.call_off,
+        may_probe=False,
+        may_duplicate=forwards.duplicate,
+        may_message=bool(plan.peers),
+        may_order=orders.allowed,
+        tells_retry_after=answers.retry_after,
+        longest_retry_after=answers.longest_retry_after,
+        most_forwards=forwards.most,
+        connect_timeout=forwards.connect_timeout,
+        keep_alive=fleet.keep_alive,
+        loads_on_miss=fleet.loads_on_miss,
+        order_timeout=orders.time_out,
+        order_floor=orders.floor,
+        order_share=orders.share,
+        order_window=orders.window,
+        tells_found=fleet.tells_found,
+        tells_same_model=fleet.tells_same_model,
+        valued_by_work=False,
+        report_fields=[],
+        report_meanings={},
+        memory_mb={},
+        crossing_price=fleet.crossing_price,
+        handshake_price=fleet.handshake_price,
+    )
 
 
 class ModelTable:
--- a/sprucespool/settings/kdl.py
+++ b/sprucespool/settings/kdl.py
@@ -4,6 +4,7 @@
 name (dashes for underscores); children fill fields whose type is a struct or a list of structs, by the node's name.
 `Duration` and `Bytes` take texts with a unit, since a bare number there is the commonest of all mistakes.
 """
+
 from __future__ import annotations
 
 import math
@@ -95,7 +96,7 @@
                     if skipping and depth + 1 == skipping[-1]:
                         skipping.pop()
                     lines.append(line)
-            raw = re.match(r'(?:r(#*)"|(#+)"|(""")|")', text[at:at + 40])
+            raw = re.match(r'(?:r(#*)"|(#+)"|(""")|")', text[at : at + 40])
             if raw:
                 hashes = raw.group(1) or raw.group(2) or ""
                 quote = '"""' if text.startswith('"""', at + len(hashes)) else '"'
@@ -105,7 +106,7 @@
                     if text[seek] == "\\" and raw.group(1) is None and not hashes:
                         seek += 1
                     seek += 1
-                piece = text[at:seek + len(closing)]
+                piece = text[at : seek + len(closing)]
                 for _ in range(piece.count("\n")):
                     depths.append(None)
                 line += piece.count("\n")
@@ -199,8 +200,9 @@
     return ", ".join(name.rstrip("_").replace("_", "-") for name in names) or "nothing"
 
 
-def _fill(cls: type[msgspec.Struct], place: _Place, args: list, properties: dict, children: list,
-          lines: dict[int, int]) -> Any:
+def _fill(
+    cls: type[msgspec.Struct], place: _Place, args: list, properties: dict, children: list, lines: dict[int, int]
+) -> Any:
     hints = typing.get_type_hints(cls, include_extras=True)
     fields = {field.name: field for field in msgspec.structs.fields(cls)}
     positions: tuple[str, ...] = getattr(cls, "__args__", ())
@@ -240,8 +242,11 @@
             if name in plain and (listed or len(node.args) == 1) and not node.properties and name not in given:
                 # A setting on a line of its own reads better than a long line.
                 try:
-                    given[name] = ([_value(typing.get_args(hints[name])[0], one) for one in node.args] if listed
-                                   else _value(hints[name], node.args[0]))
+                    given[name] = (
+                        [_value(typing.get_args(hints[name])[0], one) for one in node.args]
+                        if listed
+                        else _value(hints[name], node.args[0])
+                    )
                 except ValueError as problem:
                     raise spot.error(str(problem)) from None
                 continue
--- a/sprucespool/standin/jumping.py
+++ b/sprucespool/standin/jumping.py
@@ -1,4 +1,5 @@
 """A controller whose clock can be made to jump: for days in which a machine sleeps and wakes minutes later."""
+
 from __future__ import annotations
 
 import asyncio
--- a/sprucespool/standin/links.py
+++ b/sprucespool/standin/links.py
@@ -4,6 +4,7 @@
 connects from (`source` in a controller's file): so one relay serves all pairs, and what goes back on a connection goes
 by the state of the other direction.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -209,7 +210,8 @@
     async def open(self) -> None:
         if self.server is None:
             self.server = await asyncio.get_running_loop().create_server(
-                lambda: _Connection(self).near, self.host, self.port, backlog=512)
+                lambda: _Connection(self).near, self.host, self.port, backlog=512
+            )
             self.port = self.server.sockets[0].getsockname()[1]
 
     def shut(self) -> None:
--- a/sprucespool/standin/plans.py
+++ b/sprucespool/standin/plans.py
@@ -1,4 +1,5 @@
 """Broken builds of failover, each without one thing that an invariant rests on. For proving the checker only."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -87,9 +88,14 @@
 @dataclass(eq=False)
 class Liar(Failover):
     """Breaks nothing by itself: the others have to bear with it."""
+
     meter_kind = LyingMeter
 
 
-PLANS: dict[str, type[Failover]] = {"failover-a": OneNumber, "failover-e": Fidgeting, "failover-f": Unled,
-                                   "failover-liar": Liar}
+PLANS: dict[str, type[Failover]] = {
+    "failover-a": OneNumber,
+    "failover-e": Fidgeting,
+    "failover-f": Unled,
+    "failover-liar": Liar,
+}
 STEERS: dict[str, type[Steer]] = {"failover-b": Crowding, "failover-c": Straying, "failover-d": Leaking}
--- a/sprucespool/standin/processes.py
+++ b/sprucespool/standin/processes.py
@@ -1,4 +1,5 @@
 """Child processes of a stage: each says on its first line that it is ready."""
+
 from __future__ import annotations
 
 import asyncio
@@ -30,6 +31,7 @@
             line = self.popen.stdout.readline().decode().strip()
             loop.call_soon_threadsafe(self._said, line)
             self.rest = self.popen.stdout.read().decode(errors="replace")
+
         self.reader = threading.Thread(target=read, daemon=True)
         self.reader.start()
 
--- a/sprucespool/standin/starving.py
+++ b/sprucespool/standin/starving.py
@@ -1,5 +1,6 @@
 """How long processes of a stage were ready to run and had no core, as the kernel counts it. Against verdicts that are
 the machine's: what it keeps a process from doing is no lateness of that process."""
+
 from __future__ import annotations
 
 import asyncio
--- a/sprucespool/standin/trace.py
+++ b/sprucespool/standin/trace.py
@@ -1,4 +1,5 @@
 """A stand-in's notes of what it saw, a line each, kept when its process is killed."""
+
 from __future__ import annotations
 
 import io
--- a/sprucespool/standin/views.py
+++ b/sprucespool/standin/views.py
@@ -1,4 +1,5 @@
 """Broken views of the fleet, each without one thing that an invariant rests on. For proving the checker only."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -59,4 +60,9 @@
 
 
 VIEWS: dict[str, type[Fleet]] = {
-    "fleet-a": Mute, "fleet-b": Deaf, "fleet-c": Clinging, "fleet-d": Gullible, "fleet-liar": LyingSoon}
+    "fleet-a": Mute,
+    "fleet-b": Deaf,
+    "fleet-c": Clinging,
+    "fleet-d": Gullible,
+    "fleet-liar": LyingSoon,
+}
--- a/sprucespool/transport/listener.py
+++ b/sprucespool/transport/listener.py
@@ -1,4 +1,5 @@
 """The serving side: accepts connections, hands calls to their methods, ends gracefully."""
+
 from __future__ import annotations
 
 import asyncio
@@ -15,6 +16,7 @@
 @dataclass(frozen=True, slots=True)
 class Server:
     """What a listener allows; times in milliseconds."""
+
     connections: int = 4096
     handshake: float = 5_000.0
     idle_close: float = 600_000.0
@@ -29,8 +31,21 @@
 class ServerCall:
     """One call as its method sees it. Set `on_message`, `on_closed` (the client is done sending), `on_gone` (the client
     gave up or its connection went), `on_drained`; then `send` and one `finish`."""
-    __slots__ = ("wire", "stream", "path", "metadata", "timeout", "began", "on_message", "on_closed", "on_gone",
-                 "on_drained", "over", "peer")
+
+    __slots__ = (
+        "wire",
+        "stream",
+        "path",
+        "metadata",
+        "timeout",
+        "began",
+        "on_message",
+        "on_closed",
+        "on_gone",
+        "on_drained",
+        "over",
+        "peer",
+    )
 
     def __init__(self, wire: Wire, began: Began, now: float, peer: str):
         self.wire, self.stream, self.path = wire, began.stream, began.path
@@ -88,6 +103,7 @@
 
 def unary(serve: Callable[[ServerCall, bytes], None]) -> Method:
     """A method of one request message: `serve` gets it when the client is done sending."""
+
     def method(call: ServerCall):
         got: list[bytes] = []
 
@@ -105,7 +121,9 @@
                 serve(call, got[0])
             else:
                 call.finish(Status.INVALID_ARGUMENT, "expected one message, got none")
+
         call.on_message, call.on_closed = message, closed
+
     return method
 
 
@@ -133,7 +151,8 @@
             wire.end("closed", at_once=True)
             return
         if len(self.listener.peers) >= self.listener.server.connections or (
-                self.listener.leaving and not self.listener.kept):
+            self.listener.leaving and not self.listener.kept
+        ):
             self.listener.turned_away += 1
             wire.end("too many connections", at_once=True)
             return
--- a/sprucespool/transport/opener.py
+++ b/sprucespool/transport/opener.py
@@ -1,4 +1,5 @@
 """Connections to one address, opened for the calls that wait for one: the same whatever is spoken on them."""
+
 from __future__ import annotations
 
 import asyncio
@@ -11,6 +12,7 @@
 
 class Connection(Protocol):
     """`note` brings its slot up to date."""
+
     wire: Wire
     slot: Slot
 
@@ -61,8 +63,9 @@
         source = self.plan.limits.source
         try:
             async with asyncio.timeout(self.plan.limits.connect_timeout / 1000.0):
-                await self.loop.create_connection(lambda: conn.wire, self.host, self.port,
-                                                  local_addr=(source, 0) if source else None)
+                await self.loop.create_connection(
+                    lambda: conn.wire, self.host, self.port, local_addr=(source, 0) if source else None
+                )
         except (OSError, TimeoutError) as problem:
             why = f"{type(problem).__name__}: {problem}"
             self.plan.slots.remove(slot)
--- a/sprucespool/transport/plan.py
+++ b/sprucespool/transport/plan.py
@@ -1,4 +1,5 @@
 """When to open, use and close connections to one invoker. Decides on what it is told; no I/O, no clock."""
+
 from __future__ import annotations
 
 import itertools
@@ -9,6 +10,7 @@
 @dataclass(frozen=True, slots=True)
 class PoolLimits:
     """Times in milliseconds."""
+
     connections: int = 4
     connect_timeout: float = 250.0
     idle_close: float = 30_000.0
@@ -46,6 +48,7 @@
 @dataclass(slots=True, eq=False)
 class Slot:
     """One connection as the plan sees it. `room` is how many more calls its peer takes; `used` since when idle."""
+
     ready: bool = False
     room: int = 0
     open_calls: int = 0
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -1,4 +1,5 @@
 """Connections to one invoker, opened at need, closed when idle, tried again after a jittered pause."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -15,12 +16,14 @@
 @dataclass(slots=True)
 class Unconnected:
     """The call never left: no connection was had."""
+
     why: str
 
 
 @dataclass(slots=True)
 class Broken:
     """The connection went while the call was out: it may have run."""
+
     why: str
 
 
@@ -30,10 +33,18 @@
 
 class PoolCall:
     """One call of a client. `heard` gets its events; the last is one of ENDS, exactly one. After `cancel`, none."""
+
     __slots__ = ("pool", "path", "metadata", "until", "messages", "heard", "conn", "stream", "over")
 
-    def __init__(self, pool: Pool, path: str, metadata: Metadata, until: float | None, message: bytes,
-                 heard: Callable[[Heard], None]):
+    def __init__(
+        self,
+        pool: Pool,
+        path: str,
+        metadata: Metadata,
+        until: float | None,
+        message: bytes,
+        heard: Callable[[Heard], None],
+    ):
         self.pool, self.path, self.metadata, self.until = pool, path, metadata, until
         self.messages, self.heard = message, heard
         self.conn: _Conn | None = None
@@ -129,8 +140,9 @@
     def unconnected(self, call: PoolCall, why: str) -> None:
         call.end(Unconnected(why))
 
-    def call(self, path: str, metadata: Metadata, timeout: float | None, message: bytes,
-             heard: Callable[[Heard], None]) -> PoolCall:
+    def call(
+        self, path: str, metadata: Metadata, timeout: float | None, message: bytes, heard: Callable[[Heard], None]
+    ) -> PoolCall:
         """Send one message and hear what comes back; `timeout` in ms goes along as grpc-timeout."""
         now = self.now()
         call = PoolCall(self, path, metadata, None if timeout is None else now + timeout, message, heard)
--- a/sprucespool/transport/turn.py
+++ b/sprucespool/transport/turn.py
@@ -1,4 +1,5 @@
 """One turn of the loop around a gateway, the same at every door: inputs together, one wake-up, how late it runs."""
+
 from __future__ import annotations
 
 import asyncio
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -1,4 +1,5 @@
 """One connection: bytes between a socket and a link."""
+
 from __future__ import annotations
 
 import asyncio
@@ -25,9 +26,14 @@
     `on_events(wire, events)` gets what came; `on_lost(wire, why)` once when the connection is gone.
     """
 
-    def __init__(self, link: Link, on_events: Callable[[Wire, list[Any]], None],
-                 on_lost: Callable[[Wire, str], None], on_made: Callable[[Wire], None] | None = None,
-                 high_water: int = HIGH_WATER):
+    def __init__(
+        self,
+        link: Link,
+        on_events: Callable[[Wire, list[Any]], None],
+        on_lost: Callable[[Wire, str], None],
+        on_made: Callable[[Wire], None] | None = None,
+        high_water: int = HIGH_WATER,
+    ):
         self.high_water = high_water
         # Against last words that unread input would swallow (a close with bytes unread resets the connection):
         # said after `delay` ms, then the peer is heard out for `linger` ms. 0: closed as soon as they are written.
--- a/sprucespool/wire/names.py
+++ b/sprucespool/wire/names.py
@@ -24,14 +24,26 @@
 
 # Request parameters; each may also come as metadata, with dashes and the prefix below.
 MODEL_GROUP, TENANT, COST, MEMORY, LANES, LOAD_TIME, WRITE = (
-    "model_group", "tenant", "cost_ms", "memory_mb", "lanes", "load_ms", "write")
+    "model_group",
+    "tenant",
+    "cost_ms",
+    "memory_mb",
+    "lanes",
+    "load_ms",
+    "write",
+)
 PREFIX = "spruce-"
 COPIES = "copies"
 
 # Trailing metadata of an invoker, all of it optional: its process, how long that runs, whether it drains.
 BOOT, AGE, DRAINING = "spruce-boot", "spruce-age-ms", "spruce-draining"
 FOUND, SAME_MODEL, LOAD_FAILED, REPORT, STANDING = (
-    "spruce-found", "spruce-same-model", "spruce-load-failed", "spruce-report", "spruce-standing")
+    "spruce-found",
+    "spruce-same-model",
+    "spruce-load-failed",
+    "spruce-report",
+    "spruce-standing",
+)
 
 PUSHBACK = "grpc-retry-pushback-ms"
 PREVIOUS_ATTEMPTS = "grpc-previous-rpc-attempts"
--- a/sprucespool/wire/outcomes.py
+++ b/sprucespool/wire/outcomes.py
@@ -1,4 +1,5 @@
 """One table of what statuses mean, towards invokers and towards clients (docs/operate/running.md shows it)."""
+
 from __future__ import annotations
 
 from sprucespool import interface as it
@@ -72,4 +73,8 @@
 
 # Towards clients. A failure must never be a code that clients repeat by habit (UNAVAILABLE): it promises nothing.
 SHED, FAILED, FAILED_LATE, MALFORMED = (
-    Status.RESOURCE_EXHAUSTED, Status.UNKNOWN, Status.DEADLINE_EXCEEDED, Status.INVALID_ARGUMENT)
+    Status.RESOURCE_EXHAUSTED,
+    Status.UNKNOWN,
+    Status.DEADLINE_EXCEEDED,
+    Status.INVALID_ARGUMENT,
+)
--- a/sprucespool/wire/peek.py
+++ b/sprucespool/wire/peek.py
@@ -2,6 +2,7 @@
 
 A request of megabytes is walked field by field (protobuf encoding, "Message Structure"); tensors are stepped over.
 """
+
 from __future__ import annotations
 
 import struct
@@ -22,6 +23,7 @@
 @dataclass(slots=True)
 class Glance:
     """What was read; `parameters` are those of the request, not of its tensors."""
+
     model: str = ""
     version: str = ""
     id: str = ""
--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,44 @@
+"""Reads KNOWN-RED.txt: tests that fail for a real fault which is named there and not mended yet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+SEPARATOR = "|"
+MOST_ENTRIES = 3
+
+
+class KnownRedError(ValueError):
+    """The file cannot be used; the text names the line and what was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRed:
+    """One failing test: its pytest node id, the cause of its failure and the issue that tracks it."""
+
+    test: str
+    cause: str
+    issue: str
+
+
+def read_known_red(path: Path) -> list[KnownRed]:
+    """The entries of the file, none where it is absent. Raises KnownRedError."""
+    if not path.exists():
+        return []
+    entries = []
+    for number, line in enumerate(path.read_text().splitlines(), start=1):
+        if not line.strip():
+            continue
+        parts = [part.strip() for part in line.split(SEPARATOR)]
+        if len(parts) != 3 or not all(parts):
+            raise KnownRedError(f"{path.name} line {number}: expected TEST | CAUSE | ISSUE, got {line!r}")
+        entries.append(KnownRed(*parts))
+    if len(entries) > MOST_ENTRIES:
+        raise KnownRedError(f"{path.name}: expected at most {MOST_ENTRIES} entries, got {len(entries)}")
+    return entries
+
+
+def unknown_tests(entries: list[KnownRed], collected: set[str]) -> list[str]:
+    """Entries that name no collected test."""
+    return [entry.test for entry in entries if entry.test not in collected]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,4 +1,5 @@
 """One small day for each failure that was found."""
+
 from world import World, deployment, group
 
 from sprucespool import interface as it
@@ -259,6 +260,7 @@
             for forward in forwards(world.arrive(f"m{n}")[1]):
                 world.end(forward, found=found)
         return sum(bool(forwards(world.arrive(f"new{n}")[1])) for n in range(8))
+
     assert reached(it.Found.BEGAN_LOAD) <= 4 and reached(it.Found.WARM) == 8
 
 
@@ -315,6 +317,7 @@
                 world.wait(5.0)
                 world.end(forward)
         return found
+
     assert "w0" not in chosen()
     world.tell(it.Doubted(world.invokers["w0"], False))
     assert "w0" in chosen()
@@ -335,6 +338,7 @@
 
 def test_a_controller_told_to_hold_no_part_sends_cold_invokers_nothing_and_no_tenant_is_within_its_share():
     """Another process may still use its part: both together would be more than the whole."""
+
     def played(*told):
         tenant = it.Tenant("t", 1.0, 1000.0)
         world, cold = World(deployment(tenants=[tenant], controllers=3)), 0
@@ -352,6 +356,7 @@
             for forward in list(world.out)[:2]:
                 world.end(forward)
         return cold, world.arrive("m", tenant=tenant)[0].belief.cheap
+
     assert played(it.Sharing(3, float("inf"))) == (0, True)
     cold, cheap = played()
     assert cold > 0 and not cheap
