Traffic is thin by own calls an invoker; what is sent is checked at the moment of writing

Ruled out: cold allowances and rations (no full answers, few orders). Cause: policy._thin counted controllers (30 < 40: not thin), so each loaded copies of its own although it made 6 calls a second. Now thin also below four own calls for each invoker within a keep-alive.

After a stall of the loop the decisions wait until the sockets are polled again; roster news and clients that left go first; the time a request waited unread counts. A bad frame or a cut fails what else is open on the connection instead of closing without answers. End after SIGTERM is by the longest deadline of the settings (3.3 s was fixed; a platform with deadlines of 1 s kills at 1.7), the listener stays open until nothing comes. accept, connect, listen and reading the file bear passing errors. Ages of invokers by a clock anchored at the start. Little time left narrows no window.

--- a/sprucespool/daemon/door.py
+++ b/sprucespool/daemon/door.py
@@ -45,6 +45,7 @@
     path: str
     since: float
     group: str
+    given: ms.Call
     forwards: list[str] = field(default_factory=list)
     results: int = 0
 
@@ -225,6 +226,7 @@
             names.MODEL_STREAM_INFER if group.streamed else names.MODEL_INFER,
             self.now(),
             group.name,
+            given,
         )
         self.clients[client.id] = client
         self.held += len(data)
@@ -268,11 +270,12 @@
         lanes = number(names.LANES, facts.lanes if facts else None)
         memory = number(names.MEMORY, facts.memory / 1e6 if facts and facts.memory else None)
         self.numbers += 1
+        waited = max(self.turn.pace.unread(), call.waited)
         return ms.Call(
             f"{self.plan.controller.number}-{self.numbers}",
             name,
             told.model,
-            min(group.route_timeout, call.timeout if call.timeout is not None else group.route_timeout),
+            max(1.0, min(group.route_timeout, group.route_timeout if call.timeout is None else call.timeout) - waited),
             tenant,
             number(names.COST, None),
             memory,
@@ -284,7 +287,8 @@
 
     def _client_gone(self, client: _Client):
         if self.clients.get(client.id) is client:
-            self.tell(ms.Left(client.id))
+            if not self.turn.withdraw(client.given):
+                self.tell(ms.Left(client.id))
             self._done(client, "left")
 
     def _done(self, client: _Client, how: str):
--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -166,6 +166,8 @@
 class Link:
     """What both ends share."""
 
+    more = False
+
     low_mark = 16384
 
     def __init__(self, limits: Limits, server: bool, ledger: Ledger | None = None):
--- a/sprucespool/links.py
+++ b/sprucespool/links.py
@@ -24,6 +24,10 @@
 
 
 class Link(Protocol):
+    @property
+    def more(self) -> bool:
+        """Whether `outgoing` has more that may be written; only links that give one message at a time ever do."""
+
     def receive(self, data: memoryview, now: float) -> list[Any]:
         """Raises LinkError when the connection is to end; `outgoing` then still has the last words for the peer."""
 
--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from typing import Protocol
 
 from sprucespool.node.logs import Log
 from sprucespool.relay.frames import FrontLink, ReadyAsked, Request, TakenBack, Terms
+from sprucespool.transport.acceptor import Acceptor
 from sprucespool.transport.wire import Wire
 
 LOOK_EVERY = 0.25
@@ -37,10 +39,12 @@
 class Peer:
     """One client's connection."""
 
-    __slots__ = ("front", "wire", "link", "idle_since", "unread_since", "calls")
+    __slots__ = ("front", "wire", "link", "idle_since", "unread_since", "calls", "waited")
 
-    def __init__(self, front: Front):
+    def __init__(self, front: Front, waited: float):
         self.front = front
+        # How long what is read now may have waited for the connection to be accepted, at the most.
+        self.waited = waited
         self.link = FrontLink(front.terms)
         self.wire = Wire(self.link, self._events, self._lost, self._made, HIGH_WATER)
         self.wire.linger, self.wire.on_closed = LINGER, self._closed
@@ -63,6 +67,7 @@
             elif isinstance(event, ReadyAsked):
                 self.link.readiness(event.stream, calls.ready)
         self.idle_since = wire.heard
+        self.waited = 0.0
 
     def _lost(self, wire: Wire, why: str):
         for stream in list(self.calls):
@@ -114,7 +119,7 @@
         self.backlog = max(16, int(PART_ACCEPTED * sockets))
         self.most_half = int(HALF_RECEIVED * memory_mb * 2**20)
         self.accepted = self.evicted = self.bad = 0
-        self.server: asyncio.Server | None = None
+        self.acceptor = Acceptor(lambda waited: Peer(self, waited).wire, self.backlog, self._exhausted)
         self.timer: asyncio.TimerHandle | None = None
 
     def now(self) -> float:
@@ -126,9 +131,16 @@
         return PAUSE if 2 * len(self.all) < self.most else 0.0
 
     async def start(self, host: str, port: int) -> int:
-        self.server = await self.loop.create_server(lambda: Peer(self).wire, host, port, backlog=self.backlog)
+        port = await self.acceptor.start(host, port)
         self.timer = self.loop.call_later(LOOK_EVERY, self._look)
-        return self.server.sockets[0].getsockname()[1]
+        return port
+
+    def _exhausted(self, problem: OSError):
+        """No descriptor or memory for a new connection: one that nobody uses makes room."""
+        self.log.info("connection not accepted yet", why=f"{type(problem).__name__}: {problem}")
+        unused = next((peer for peer in self.open if not peer.calls and not peer.link.rest), None)
+        if problem.errno == errno.EMFILE and (unused is not None or len(self.all) > len(self.open)):
+            self._evict()
 
     def made(self, peer: Peer) -> None:
         self.accepted += 1
@@ -171,19 +183,26 @@
                 peer.cut("too much is half received", self.pause)
 
     def no_more(self) -> None:
-        """No new connections, and no new requests on those that stand."""
-        if self.server is not None:
-            self.server.close()
+        """Ask for no new requests; what comes all the same is answered, also on new connections."""
         for peer in list(self.open):
             peer.link.no_more()
             peer.wire.flush_soon()
 
+    @property
+    def half_received(self) -> bool:
+        """Whether a request is on its way in, on any connection."""
+        return any(peer.link.rest for peer in self.open)
+
+    @property
+    def unwritten(self) -> bool:
+        """Whether an answer is still to be written, on any connection."""
+        return any(peer.wire.unwritten for peer in self.open)
+
     def close(self) -> None:
         if self.timer:
             self.timer.cancel()
-        if self.server is not None:
-            self.server.close()
+        self.acceptor.close()
         for peer in list(self.open):
-            peer.wire._flush()
+            peer.wire.flush()
             peer.wire.linger = 0.0
             peer.wire.end("the controller ends")
--- a/sprucespool/node/door.py
+++ b/sprucespool/node/door.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from sprucespool import interface as it
 from sprucespool.gateway import Gateway
 from sprucespool.gateway import messages as ms
+from sprucespool.node.clock import AnchoredClock
 from sprucespool.node.clients import Front, Peer
 from sprucespool.node.invokers import Ask, Invoker
 from sprucespool.node.logs import Log
@@ -40,6 +40,8 @@
     request: Request
     given: ms.Call
     since: float
+    # When its client gives up, as near as it can be told here.
+    deadline: float
     forwards: list[str] = field(default_factory=list)
 
 
@@ -56,8 +58,8 @@
 class Door:
     """The gateway's port, and what clients' requests mean."""
 
-    def __init__(self, plan: Configuration, log: Log):
-        self.plan, self.log = plan, log
+    def __init__(self, plan: Configuration, log: Log, clock: AnchoredClock):
+        self.plan, self.log, self.clock = plan, log, clock
         self.gateway = Gateway(plan.deployment, plan.seed, self._effect)
         self.turn = Turn(self.gateway.take, self._after)
         self.loop = self.turn.loop
@@ -91,7 +93,7 @@
 
     def start(self) -> None:
         """What the configuration knows of the invokers."""
-        for news in self.roster.known(self.plan.cursor, self.plan.commands, time.time() * 1000.0):
+        for news in self.roster.known(self.plan.cursor, self.plan.commands, self.clock.unix_ms()):
             self.rostered(news)
         self.ready = True
 
@@ -102,6 +104,16 @@
                 del self.invokers[name]
                 self.leaving[invoker] = None
         self.turn.tell(news)
+        for row in news.rows:
+            listed = self.invokers.get(row.invoker)
+            if listed is None:
+                continue
+            if row.status == it.Status.IN_SERVICE.value:
+                listed.accepting = True
+            else:
+                listed.stop_sending()
+        for invoker in self.leaving:
+            invoker.stop_sending()
 
     def invoker(self, name: str) -> Invoker | None:
         place = self.roster.places.get(name)
@@ -122,6 +134,7 @@
                 self.plan.streams,
                 self.plan.seed + 7919 * self.numbers,
                 lambda what, why: self.log.debug(what, invoker=name, why=why),
+                self.turn.pace.settle,
             )
         return self.invokers[name]
 
@@ -138,7 +151,8 @@
             peer.link.shed(request.stream, 0.0)
             peer.answered(request.stream)
             return True
-        ttl = request.ttl - self.turn.lag
+        waited = max(self.turn.lag, self.turn.pace.unread(), peer.waited)
+        ttl = request.ttl - waited
         if self.until is not None:
             ttl = min(ttl, self.until - now)
         self.numbers += 1
@@ -154,7 +168,7 @@
             request.load_time,
             request.repeat,
         )
-        client = _Client(given.call, peer, request, given, now)
+        client = _Client(given.call, peer, request, given, now, now + ttl)
         peer.calls[request.stream] = client
         self.clients[given.call] = self.ids[request.id] = client
         self.held += len(request.body)
@@ -221,10 +235,14 @@
         out = self.out[effect.forward] = _Out(client, effect.invoker)
         request = client.request
         client.forwards.append(effect.invoker)
+        now, dep = self.turn.now(), self.plan.deployment
+        deadline = min(now + effect.time_out, client.deadline)
+        # Decided so long ago, it might reach an invoker that no longer drops it as a repeat.
+        write_by = now + dep.connect_timeout + dep.answer_slack
         out.ask = invoker.ask(
             request.id,
             lambda link: link.run(
-                request.id, request.group, request.model, effect.time_out, request.once, request.body
+                request.id, request.group, request.model, deadline, request.once, request.body, write_by
             ),
             lambda end: self._heard(effect.forward, out, end),
         )
@@ -340,6 +358,9 @@
         left = list(self.clients.values())
         for client in left:
             self._fail(client.call, "failed at the end")
+        for out in self.out.values():
+            if out.ask is not None:
+                out.ask.give_up()
         return len(left)
 
     def close(self) -> None:
--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from sprucespool import interface as it
 from sprucespool.relay.feed import Place
@@ -17,6 +17,8 @@
 # Heard of nothing so long after something was sent: what is new goes on another connection, which shows whether the
 # invoker is still there.
 SILENT = 400.0
+# A request taken back of which the socket still holds a part: written on for so long, then the connection ends.
+UNWRITTEN = 0.05
 # Tags that one connection keeps in mind, to tell a late answer from a new one; then it takes no more.
 MOST_USED = 20_000
 
@@ -54,7 +56,7 @@
 class _Conn:
     def __init__(self, invoker: Invoker, slot: Slot):
         self.invoker, self.slot = invoker, slot
-        self.link = InvokerLink()
+        self.link = InvokerLink(invoker.now)
         self.asks: dict[str, Ask] = {}
         self.silent = False
         self.wire = Wire(self.link, self._events, self._lost, high_water=HIGH_WATER)
@@ -64,7 +66,8 @@
         self.asks[ask.tag] = ask
         ask.write(self.link)
         self.note()
-        self.wire.flush_soon()
+        # At once: between a decision and its writing nothing may come that would have changed it.
+        self.wire.flush()
 
     def note(self):
         slot = self.slot
@@ -80,9 +83,25 @@
         left = self.link.give_up(ask.tag)
         if left and self.wire.heard < ask.at and self.invoker.now() - ask.at > SILENT:
             self.silent = True
+        if left and self.wire.paused and self.link.last_written == ask.tag:
+            self.invoker.loop.call_later(UNWRITTEN, self._end_if_unwritten, ask.tag)
         self.note()
         self.wire.flush_soon()
 
+    def _end_if_unwritten(self, tag: str):
+        """Against a request that begins at the invoker long after its client has gone."""
+        if self.wire.paused and self.link.last_written == tag:
+            self.wire.end("a request taken back is still half written", at_once=True)
+
+    def withdraw_unsent(self) -> list[Ask]:
+        """Take back what the socket holds nothing of; gives what that was."""
+        unsent = [self.asks.pop(tag) for tag in list(self.link.out)]
+        for ask in unsent:
+            self.link.give_up(ask.tag)
+        if unsent:
+            self.note()
+        return unsent
+
     def _events(self, wire: Wire, answers: list[Answer]):
         self.silent = False
         for answer in answers:
@@ -108,9 +127,19 @@
 class Invoker(Opener[_Conn, Ask]):
     """All that goes to one process of an invoker at one address."""
 
-    def __init__(self, place: Place, limits: PoolLimits, streams: int, seed: int, told: Callable[[str, str], None]):
-        super().__init__(place.host, place.port, limits, seed)
+    def __init__(
+        self,
+        place: Place,
+        limits: PoolLimits,
+        streams: int,
+        seed: int,
+        told: Callable[[str, str], None],
+        settle: Callable[[], Awaitable[None]],
+    ):
+        super().__init__(place.host, place.port, limits, seed, settle)
         self.place, self.streams, self.told = place, streams, told
+        # False while it drains, and once it has left: nothing new is written to it.
+        self.accepting = True
 
     def connection(self, slot: Slot) -> _Conn:
         return _Conn(self, slot)
@@ -123,6 +152,9 @@
 
     def ask(self, tag: str, write: Callable[[InvokerLink], None], heard: Callable[[Answer | it.Outcome], None]) -> Ask:
         ask = Ask(self, tag, write, heard, self.now())
+        if not self.accepting:
+            self.loop.call_soon(ask.end, it.Outcome.NOT_SENT)
+            return ask
         self.waiting.append(ask)
         if len(self.waiting) == 1:
             self.place_waiting()
@@ -133,25 +165,39 @@
 
     def tell(self, write: Callable[[InvokerLink], None]) -> None:
         """A line without an answer, where a connection stands."""
+        if not self.accepting:
+            return
         for conn in self.conns.values():
             write(conn.link)
             return conn.wire.flush_soon()
 
+    def stop_sending(self) -> None:
+        """It drains or has left: what was not written yet never is."""
+        self.accepting = False
+        unsent = list(self.waiting)
+        self.waiting.clear()
+        for conn in list(self.conns.values()):
+            unsent += conn.withdraw_unsent()
+        for ask in unsent:
+            ask.end(it.Outcome.NOT_SENT)
+
     def place_waiting(self) -> None:
         while self.waiting:
-            ask = self.waiting[0]
-            if not ask.over:
-                slot, opens, why = self._where(ask)
-                if slot is not None:
-                    self.conns[slot].begin(ask)
-                elif why or self.closed:
-                    # Told in the next turn: the asker does not yet hold the ask.
-                    self.loop.call_soon(ask.end, it.Outcome.UNCONNECTED)
-                else:
-                    if opens:
-                        self.open()
-                    return
-            self.waiting.popleft()
+            # Out of the line before it is written: what is heard during the writing may place the next.
+            ask = self.waiting.popleft()
+            if ask.over:
+                continue
+            slot, opens, why = self._where(ask)
+            if slot is not None:
+                self.conns[slot].begin(ask)
+            elif why or self.closed:
+                # Told in the next turn: the asker does not yet hold the ask.
+                self.loop.call_soon(ask.end, it.Outcome.UNCONNECTED)
+            else:
+                self.waiting.appendleft(ask)
+                if opens:
+                    self.open()
+                return
 
     def _where(self, ask: Ask) -> tuple[Slot | None, bool, str]:
         # A late answer to an earlier run of the same id would end this one: that goes on another connection.
@@ -185,8 +231,9 @@
 
     def close(self) -> None:
         self.closed = True
+        self.stop_sending()
         for task in self.opening:
             task.cancel()
         for conn in list(self.conns.values()):
-            conn.wire._flush()
+            conn.wire.flush()
             conn.wire.end("closed")
--- a/sprucespool/node/serve.py
+++ b/sprucespool/node/serve.py
@@ -3,19 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import json
 import os
 import signal
 import sys
+import time
 
+from sprucespool import interface as it
 from sprucespool.node.channel import Channel
+from sprucespool.node.clock import AnchoredClock
 from sprucespool.node.door import Door
 from sprucespool.node.logs import Log
 from sprucespool.relay.configuration import Configuration, ConfigurationError, read
-
-# After SIGTERM clients still come for a while; then what is owed is answered, well before the platform kills.
-STILL_COMING, ANSWERED_BY = 700.0, 3_300.0
+from sprucespool.relay.feed import EntryError
+from sprucespool.transport.errors import PASSING_ERRORS, PASSING_PAUSE
+
+# Times in milliseconds. After SIGTERM clients still come for a while. The platform kills no sooner than the longest
+# deadline of a request, counted as so much at the most, and a while more; what is owed is answered well before.
+STILL_COMING = 700.0
+LONGEST_DEADLINE, KILL_AFTER, BEFORE_KILL = 3_000.0, 700.0, 400.0
+# The end comes when nothing has come, or was left to be written, for so long.
+QUIET = 150.0
+FINAL_ANSWERS = 100.0
+POLL = 0.01
+# How long an address or a descriptor that can't be had at the start is waited for, in seconds.
+START_PATIENCE = 8.0
+# Pauses, in seconds, between readings of a new configuration that could not be read.
+READING_PAUSES = (0.05, 0.1, 0.2, 0.4, 0.8)
 
 
 def _plan(path: str) -> Configuration:
@@ -23,16 +39,27 @@
         return read(file.read())
 
 
+def answers_due(deployment: it.Deployment) -> float:
+    """How long after SIGTERM all that is owed has to be answered."""
+    longest = min(LONGEST_DEADLINE, max(group.route_timeout for group in deployment.groups))
+    return max(STILL_COMING + FINAL_ANSWERS, longest + KILL_AFTER - BEFORE_KILL)
+
+
 class Node:
-    def __init__(self, path: str, plan: Configuration, log: Log):
+    """The parts of one controller and their life."""
+
+    def __init__(self, path: str, plan: Configuration, log: Log, clock: AnchoredClock | None = None):
         self.path, self.plan, self.log = path, plan, log
+        self.clock = clock or AnchoredClock()
         self.loop = asyncio.get_running_loop()
-        self.door = Door(plan, log)
+        self.door = Door(plan, log, self.clock)
         self.channel: Channel | None = None
+        self.reading: asyncio.TimerHandle | None = None
 
     async def start(self) -> int:
-        """Gives the port. Raises OSError where the address can't be had."""
+        """Gives the port. Raises OSError where the address can't be had, EntryError for a list that can't be used."""
         self.door.start()
+        port = await self.door.front.start(self.plan.host, self.plan.port)
         self.channel = Channel(
             self.plan.channel_host,
             self.plan.channel_port,
@@ -40,14 +67,21 @@
             self.door.rostered,
             self.log,
             self.plan.seed,
+            self.clock,
         )
-        return await self.door.front.start(self.plan.host, self.plan.port)
+        return port
 
-    def reread(self) -> None:
+    def reread(self, tries: int = 0) -> None:
         """The configuration was replaced: the channel moves, all else goes on. A file that can't be used is refused."""
+        if self.reading is not None:
+            self.reading.cancel()
+            self.reading = None
         try:
             plan = _plan(self.path)
         except (OSError, ConfigurationError) as problem:
+            if isinstance(problem, OSError) and tries < len(READING_PAUSES):
+                self.reading = self.loop.call_later(READING_PAUSES[tries], self.reread, tries + 1)
+                return
             return self.log.error("new configuration refused", path=self.path, problem=problem)
         self.log.info("configuration read again", channel=f"{plan.channel_host}:{plan.channel_port}")
         assert self.channel is not None
@@ -56,31 +90,62 @@
 
     async def stop(self) -> int:
         """Go on while clients still come, answer what is owed; gives how many were failed for want of time."""
-        began = self.loop.time() * 1000.0
-        self.door.until = began + ANSWERED_BY - 100.0
+        due = self._now() + answers_due(self.plan.deployment)
+        self.door.until = due - FINAL_ANSWERS
         await asyncio.sleep(STILL_COMING / 1000.0)
         self.door.ready = False
         self.door.front.no_more()
-        while self.door.clients and self.loop.time() * 1000.0 < began + ANSWERED_BY:
-            await asyncio.sleep(0.01)
+        await self._until_quiet(due)
         left = self.door.fail_the_rest()
-        await asyncio.sleep(0.05)
+        await self._until_quiet(min(due + FINAL_ANSWERS, self._now() + QUIET))
         self.close()
         await asyncio.sleep(0.05)
         return left
 
+    def _now(self) -> float:
+        return self.loop.time() * 1000.0
+
+    async def _until_quiet(self, until: float):
+        """Nothing owed, nothing on its way in or out, for a while; at the longest until the time given."""
+        front = self.door.front
+        quiet_since = self._now()
+        while self._now() < until and self._now() - quiet_since < QUIET:
+            await asyncio.sleep(POLL)
+            front.acceptor.accept_waiting()
+            if self.door.clients or front.acceptor.busy or front.half_received or front.unwritten:
+                quiet_since = self._now()
+
     def close(self) -> None:
+        if self.reading is not None:
+            self.reading.cancel()
         if self.channel is not None:
             self.channel.close()
         self.door.close()
 
 
+async def _listening(node: Node, early: list[int]) -> int:
+    """Start; what fails for want of something on this machine is tried again for a while."""
+    until = node.loop.time() + START_PATIENCE
+    while True:
+        try:
+            return await node.start()
+        except OSError as problem:
+            passing = problem.errno in PASSING_ERRORS or problem.errno == errno.EADDRINUSE
+            if not passing or node.loop.time() > until or signal.SIGTERM in early:
+                raise
+        await asyncio.sleep(PASSING_PAUSE)
+
+
 async def _serve(path: str, plan: Configuration, log: Log, early: list[int]) -> int:
     loop = asyncio.get_running_loop()
     ending = asyncio.Event()
     node = Node(path, plan, log)
     try:
-        port = await node.start()
+        port = await _listening(node, early)
+    except EntryError as problem:
+        print(f"RELAY_CONFIG {path}: known: {problem}", file=sys.stderr)
+        node.close()
+        return 2
     except OSError as problem:
         print(f"listen {plan.host}:{plan.port}: {problem.strerror or problem}", file=sys.stderr)
         node.close()
@@ -120,6 +185,26 @@
     return 0
 
 
+def _patiently(call):
+    """The call's result; what fails for want of something on this machine is tried again for a while."""
+    until = time.monotonic() + START_PATIENCE
+    while True:
+        try:
+            return call()
+        except OSError as problem:
+            if problem.errno not in PASSING_ERRORS or time.monotonic() > until:
+                raise
+        time.sleep(PASSING_PAUSE)
+
+
+def _read_at_start(path: str) -> Configuration:
+    return _patiently(lambda: _plan(path))
+
+
+def _new_loop() -> asyncio.AbstractEventLoop:
+    return _patiently(asyncio.new_event_loop)
+
+
 def serve(early: list[int]) -> int:
     """Run one controller until it is told to end; gives the exit status. `early` holds signals that came before."""
     path = os.environ.get("RELAY_CONFIG", "")
@@ -127,11 +212,12 @@
         print("expected RELAY_CONFIG to name the configuration file", file=sys.stderr)
         return 2
     try:
-        plan = _plan(path)
+        plan = _read_at_start(path)
     except OSError as problem:
         print(f"RELAY_CONFIG {path}: {problem.strerror or problem}", file=sys.stderr)
         return 2
     except ConfigurationError as problem:
         print(f"RELAY_CONFIG {path}: {problem}", file=sys.stderr)
         return 2
-    return asyncio.run(_serve(path, plan, Log(os.environ.get("SPRUCESPOOL_LOG", "info")), early))
+    with asyncio.Runner(loop_factory=_new_loop) as runner:
+        return runner.run(_serve(path, plan, Log(os.environ.get("SPRUCESPOOL_LOG", "info")), early))
--- a/sprucespool/policy.py
+++ b/sprucespool/policy.py
@@ -64,6 +64,8 @@
 # calls within a keep-alive that hold one of a favourite's places.
 RENEWALS, OTHERS_KEEP, PLACES, FEW_LOADS, QUEUED, STEP, LEAST_BARE = 3.0, 2.0, 3.0, 3.0, 2.0, 16, 0.1
 RENEWED_BY = 2.0
+# Of several controllers, own calls within a keep-alive for each invoker below which own entries lapse unrenewed.
+THIN_TRAFFIC = 4.0
 # Shared orders of the invokers, for all models together; a prime for their draws. The part of the cold budget
 # used, as arrivals bunch; the time over which carried work is averaged.
 TURNS, PRIME, COLD_CAUTION, CARRIED_OVER = 1024, 2**61 - 1, 0.4, 5000.0
@@ -451,7 +453,9 @@
 
     def _thin(self) -> bool:
         """Own entries lapse before own traffic renews them: a favourite is sought in all its places."""
-        return self.live > len(self.pods)
+        if self.live > len(self.pods):
+            return True
+        return self.live > 1 and self.traffic < THIN_TRAFFIC * len(self.pods)
 
     def _shared_draw(self, turns: _Turns, pod: _Pod) -> float:
         return -math.log((turns.salt * pod.salt % PRIME) / PRIME) / max(pod.entry.size, 1e-3)
@@ -609,9 +613,9 @@
             return False
         if group.effect is Effect.NON_RETRIABLE:
             return not mind.ran and not mind.out
-        return group.effect is Effect.RETRIABLE or all(
-            self.now - at < group.dedup_window for _, at in self._perhaps_ran(mind)
-        )
+        # A forward is written a while after it is decided, when its connection stands.
+        window = group.dedup_window - self.dep.connect_timeout - self.dep.answer_slack
+        return group.effect is Effect.RETRIABLE or all(self.now - at < window for _, at in self._perhaps_ran(mind))
 
     def _may_forward(self, inf: Inference, pod: _Pod) -> bool:
         group = inf.group
@@ -679,7 +683,7 @@
                 self._over(mdl.loads[pod])
         if outcome in (Outcome.RETURNED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
             pod.heard = now
-        elif outcome is Outcome.TIMED_OUT and not sent.cold:
+        elif outcome is Outcome.TIMED_OUT and not sent.cold and self._had_time(sent, inf.group):
             self._narrow(pod, inf.group)
         if outcome is Outcome.RETURNED:
             self._learn(inf, mdl, sent, event)
@@ -696,8 +700,11 @@
             # A lost answer, or a connection with all on it, condemns nobody; nothing heard since does.
             pod.broken_at = now
             mdl.warm.pop(pod, None)
-        elif outcome in (Outcome.ERROR, Outcome.MISS) or outcome is Outcome.TIMED_OUT and not sent.cold:
+        elif outcome in (Outcome.ERROR, Outcome.MISS):
             mdl.warm.pop(pod, None)
+        elif outcome is Outcome.TIMED_OUT and not sent.cold:
+            if self._had_time(sent, inf.group):
+                mdl.warm.pop(pod, None)
         elif sent.cold and pod.serving and not pod.suspect:
             # The load goes on without the inference that began it; another begun elsewhere would double it.
             self._order(mdl, pod)
@@ -715,6 +722,10 @@
         elif not mind.load and inf not in self.parked:
             self._place(inf)
 
+    def _had_time(self, sent, group: ModelGroup) -> bool:
+        """Against clients with little time left: that an answer takes its usual time says nothing of the invoker."""
+        return self.now - sent.at >= self.usual[group].mean
+
     def _learn(self, inf: Inference, mdl: _Mdl, sent, event: Ended):
         pod, usual = sent.pod, self.usual[inf.group]
         pod.new = False
--- a/sprucespool/relay/feed.py
+++ b/sprucespool/relay/feed.py
@@ -15,6 +15,10 @@
 
 PATH = "/cmd/next"
 LARGEST_EVENT = 8 * 1024 * 1024
+# No start of an invoker for so long (ms), and the own clock is taken to be ahead rather than the fleet so quiet.
+LONGEST_CREDIBLE = 30 * 60_000.0
+# How late the news of an invoker's start may be.
+LATEST_NEWS = 60_000.0
 STATES = {"up": it.Status.IN_SERVICE, "draining": it.Status.DRAINING, "removed": it.Status.GONE}
 
 
@@ -37,6 +41,8 @@
 class FeedLink:
     """The asking end of one connection to the command channel. Comments are heard as bytes and bring no event."""
 
+    more = False
+
     def __init__(self, host: str, last: int):
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=LARGEST_EVENT)
         self.out = self.http.send(
@@ -106,6 +112,44 @@
     boot: str
 
 
+class Ages:
+    """Ages of invokers from the wall time at which each was born, told by others' clocks.
+
+    The own clock may have been wrong when the process began. An invoker taken for older than it is would be overloaded,
+    one taken for younger is only used less for a while: so what can't be is read as young.
+    """
+
+    def __init__(self) -> None:
+        self.began = 0.0
+        # Added to the own wall time.
+        self.correction = 0.0
+
+    def start(self, commands: list[Any], unix: float) -> None:
+        """Compare the own clock with the youngest invoker of the list that a process begins with."""
+        self.began = unix
+        born = [time for command in commands for time in _births(command)]
+        if not born:
+            return
+        youngest = unix - max(born)
+        if not 0 <= youngest <= LONGEST_CREDIBLE:
+            self.correction = -youngest
+
+    def age(self, born: float, unix: float, known: bool) -> float:
+        """`known`: the invoker was listed before, perhaps as another process."""
+        age = max(0.0, unix + self.correction - born)
+        if not known and unix > self.began and age > unix - self.began + LATEST_NEWS:
+            # It was in no list when this process began: it can't be much older than that.
+            return 0.0
+        return age
+
+
+def _births(command: Any) -> list[float]:
+    nodes = command.get("nodes") if isinstance(command, dict) else None
+    hosts = nodes.get("hosts") if isinstance(nodes, dict) else None
+    births = [host.get("born_ms") for host in hosts if isinstance(host, dict)] if isinstance(hosts, list) else []
+    return [float(born) for born in births if isinstance(born, int | float) and born > 0 and math.isfinite(born)]
+
+
 class Roster:
     """Events of the command channel, each counted once, as rows for the gateway and places to connect to.
 
@@ -115,10 +159,12 @@
     def __init__(self) -> None:
         self.last = 0
         self.places: dict[str, Place] = {}
+        self.ages = Ages()
 
     def known(self, cursor: int, commands: list[Any], unix: float) -> list[ms.Roster]:
         """What the configuration tells: all up to `cursor`, older than what the channel told since."""
         news = [ms.Roster(it.News.RESTORED.value)] if not self.last else []
+        self.ages.start(commands, unix)
         for command in commands:
             number = command.get("cursor") if isinstance(command, dict) else None
             if isinstance(number, int) and number > self.last:
@@ -127,7 +173,7 @@
         return news
 
     def told(self, event: Told, unix: float) -> list[ms.Roster] | None:
-        """None where events between are missing."""
+        """None where events between are missing. Raises EntryError."""
         if event.number <= self.last:
             return []
         try:
@@ -139,7 +185,16 @@
             return None
         return self._read(event.number, command, unix)
 
-    def _read(self, number: int, command: Any, unix: float) -> list[ms.Roster]:
+    def pass_over(self, event: Told, unix: float) -> list[ms.Roster]:
+        """What can be used of an event that has something else in it, however often it is asked for."""
+        try:
+            command = msgspec.json.decode(event.data)
+            return self._read(event.number, command, unix, lenient=True)
+        except (msgspec.DecodeError, EntryError):
+            self.last = event.number
+            return []
+
+    def _read(self, number: int, command: Any, unix: float, lenient: bool = False) -> list[ms.Roster]:
         nodes = command.get("nodes") if isinstance(command, dict) else None
         if nodes is None:
             # A kind of event that is not about invokers.
@@ -148,7 +203,13 @@
         hosts = nodes.get("hosts") if isinstance(nodes, dict) else None
         if not isinstance(hosts, list):
             raise EntryError(f"event {number}: expected nodes with hosts")
-        rows = [self._row(number, host, unix) for host in hosts]
+        rows = []
+        for host in hosts:
+            try:
+                rows.append(self._row(number, host, unix))
+            except EntryError:
+                if not lenient:
+                    raise
         whole, version = nodes.get("whole") is True, nodes.get("seq")
         self.last = number
         if whole:
@@ -188,6 +249,7 @@
         for what, figure in (("born_ms", born), ("share", size)):
             if not isinstance(figure, int | float) or not math.isfinite(figure):
                 raise EntryError(f"event {number}: expected {what} as a number, got {figure!r}")
+        age = self.ages.age(float(born), unix, name in self.places) if born else None
         row = ms.Row(
             name,
             str(host.get("site", "")),
@@ -196,6 +258,6 @@
             status.value,
             float(size),
             str(born),
-            unix - born if born else None,
+            age,
         )
         return row, Place(at, port, str(born))
--- a/sprucespool/relay/frames.py
+++ b/sprucespool/relay/frames.py
@@ -169,6 +169,8 @@
 class FrontLink:
     """The serving end of one client's connection."""
 
+    more = False
+
     def __init__(self, terms: Terms):
         self.terms = terms
         self.rest = Rest()
@@ -226,12 +228,15 @@
             raise self._bad(0, FrameError(f"expected a frame that clients send, got type {kind}"))
 
     def _bad(self, stream: int, problem: FrameError) -> FrameError:
-        self.last = _frame(ANSWER, stream, bytes((FAILED, 0)))
+        self.last_word(stream)
         return problem
 
-    def last_word(self) -> None:
-        """Tell of an error that belongs to no request; the connection is about to end."""
-        self.last = _frame(ANSWER, 0, bytes((FAILED, 0)))
+    def last_word(self, stream: int = 0) -> None:
+        """Tell of an error (on stream 0 it belongs to no request), and fail what is open: the connection is about to
+        end, and whatever was taken is owed an answer."""
+        failed = [stream, *sorted(self.open - {stream})]
+        self.last = b"".join(_frame(ANSWER, each, bytes((FAILED, 0))) for each in failed)
+        self.open.clear()
 
     def _write(self, kind: int, stream: int, payload: bytes):
         frame = _frame(kind, stream, payload)
--- a/sprucespool/relay/lines.py
+++ b/sprucespool/relay/lines.py
@@ -8,6 +8,7 @@
 
 import math
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from sprucespool import interface as it
@@ -74,15 +75,38 @@
     return figures
 
 
+@dataclass(slots=True, frozen=True)
+class _Line:
+    """A line that waits to be written. `deadline`: a run's, told in the line as what is left of it by then; `write_by`:
+    when it is too late to write the line at all."""
+
+    before: bytes
+    after: bytes = b""
+    deadline: float | None = None
+    write_by: float = math.inf
+
+    def written(self, now: float) -> bytes | None:
+        """None where nobody waits for the answer any more."""
+        if self.deadline is None:
+            return self.before
+        left = self.deadline - now
+        if left <= 0 or now > self.write_by:
+            return None
+        return b"%b%d%b" % (self.before, max(1, int(left)), self.after)
+
+
 class InvokerLink:
-    """The asking end of one connection to an invoker."""
+    """The asking end of one connection to an invoker. `clock` gives the time (ms) at the moment of writing."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
         self.rest = Rest()
         self.open: dict[str, str] = {}
         # Tags that were asked with here: a late or doubled answer must not end a later run of the same id.
         self.used: dict[str, None] = {}
-        self.out: dict[str, bytes] = {}
+        self.out: dict[str, _Line] = {}
+        # Whose line was given out last: of it the socket may hold a part.
+        self.last_written = ""
         self.drops: list[bytes] = []
         self.skipped = 0
         # What ended the reading, where good answers came before it.
@@ -90,21 +114,36 @@
 
     # Out
 
-    def _ask(self, kind: str, tag: str, line: bytes):
+    @property
+    def more(self) -> bool:
+        return bool(self.out or self.drops)
+
+    def _ask(self, kind: str, tag: str, line: _Line):
         if tag in self.used:
             raise IllegalMove(f"{tag} was asked with on this connection")
         self.open[tag], self.used[tag], self.out[tag] = kind, None, line
 
-    def run(self, tag: str, group: str, model: str, wait: float, once: str, body: bytes) -> None:
+    def run(
+        self,
+        tag: str,
+        group: str,
+        model: str,
+        deadline: float,
+        once: str,
+        body: bytes,
+        write_by: float = math.inf,
+    ) -> None:
+        """`deadline` and `write_by` are times of the link's clock."""
+        before = f"exec {tag} cls={group},item={model},limit="
         nonce = f",nonce={once}" if once else ""
-        head = f"exec {tag} cls={group},item={model},limit={max(1, int(wait))}{nonce} {len(body)}\r\n"
-        self._ask(RUN, tag, b"%b%b\r\n" % (head.encode(), body))
+        after = b"%b %d\r\n%b\r\n" % (nonce.encode(), len(body), body)
+        self._ask(RUN, tag, _Line(before.encode(), after, deadline, write_by))
 
     def order(self, tag: str, model: str, copies: int) -> None:
-        self._ask(ORDER, tag, f"ensure {tag} item={model},n={copies}\r\n".encode())
+        self._ask(ORDER, tag, _Line(f"ensure {tag} item={model},n={copies}\r\n".encode()))
 
     def probe(self, tag: str, load: bool) -> None:
-        self._ask(PROBE, tag, f"{'load' if load else 'health'} {tag}\r\n".encode())
+        self._ask(PROBE, tag, _Line(f"{'load' if load else 'health'} {tag}\r\n".encode()))
 
     def unload(self, model: str) -> None:
         self.drops.append(f"release {model}\r\n".encode())
@@ -125,10 +164,23 @@
         return tag not in self.out
 
     def outgoing(self, data_too: bool = True) -> tuple[bytes, list[Answer]]:
-        if not data_too or not (self.out or self.drops):
+        """One line, so that all others can still be taken back; and runs whose time was over before that."""
+        if not data_too:
             return b"", []
-        lines, self.out, self.drops = [*self.out.values(), *self.drops], {}, []
-        return b"".join(lines), []
+        if self.drops:
+            drops, self.drops = b"".join(self.drops), []
+            return drops, []
+        expired: list[Answer] = []
+        now = self.clock()
+        while self.out:
+            tag = next(iter(self.out))
+            line = self.out.pop(tag).written(now)
+            if line is not None:
+                self.last_written = tag
+                return line, expired
+            del self.open[tag]
+            expired.append(Answer(tag, it.Outcome.NOT_SENT))
+        return b"", expired
 
     def forget(self) -> None:
         self.rest = Rest()
--- a/sprucespool/transport/listener.py
+++ b/sprucespool/transport/listener.py
@@ -8,6 +8,7 @@
 
 from sprucespool.grpc.link import Began, Drained, Event, HalfClosed, Ledger, Message, Ponged, Reset, ServerLink
 from sprucespool.grpc.status import Limits, Metadata, Status
+from sprucespool.transport.acceptor import Acceptor
 from sprucespool.transport.wire import Wire
 
 LOOK_EVERY = 1.0
@@ -45,9 +46,12 @@
         "on_drained",
         "over",
         "peer",
+        "waited",
     )
 
-    def __init__(self, wire: Wire, began: Began, now: float, peer: str):
+    def __init__(self, wire: Wire, began: Began, now: float, peer: str, waited: float):
+        # How long the call may have waited for its connection to be accepted, in ms.
+        self.waited = waited
         self.wire, self.stream, self.path = wire, began.stream, began.path
         self.metadata, self.timeout, self.began, self.peer = began.metadata, began.timeout, now, peer
         self.on_message: Callable[[bytes, int], None] = lambda data, size: None
@@ -130,8 +134,8 @@
 class _Peer:
     """One accepted connection."""
 
-    def __init__(self, listener: Listener):
-        self.listener = listener
+    def __init__(self, listener: Listener, waited: float):
+        self.listener, self.waited = listener, waited
         self.calls: dict[int, ServerCall] = {}
         self.wire = Wire(ServerLink(listener.limits, listener.ledger), self._events, self._lost, self._made)
         self.name, self.heard_any, self.pinged = "?", False, 0.0
@@ -160,10 +164,10 @@
         self.listener.accepted += 1
 
     def _events(self, wire: Wire, events: list[Event]):
-        self.heard_any = True
+        waited, self.waited, self.heard_any = self.waited, 0.0, True
         for event in events:
             if isinstance(event, Began):
-                call = ServerCall(wire, event, wire.heard, self.name)
+                call = ServerCall(wire, event, wire.heard, self.name, waited)
                 method = self.listener.methods.get(event.path)
                 if method is None:
                     self.listener.unknown(call)
@@ -227,6 +231,9 @@
         wire.flush_soon()
 
 
+BACKLOG = 1024
+
+
 class Listener:
     """A gRPC server on one address. `methods` maps a path such as /package.Service/Method to what serves it."""
 
@@ -240,14 +247,14 @@
         self.leaving = self.closed = False
         # Paths that are served until the end, when all others are refused.
         self.kept: frozenset[str] = frozenset()
-        self.socket: asyncio.Server | None = None
+        self.acceptor = Acceptor(lambda waited: _Peer(self, waited).wire, BACKLOG, lambda problem: None)
         self._look: asyncio.TimerHandle | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Listen; gives the port (0 asks for any). Raises OSError where the address can't be had."""
-        self.socket = await self.loop.create_server(lambda: _Peer(self).wire, host, port, backlog=1024)
+        port = await self.acceptor.start(host, port)
         self._look = self.loop.call_later(LOOK_EVERY, self._look_round)
-        return self.socket.sockets[0].getsockname()[1]
+        return port
 
     def unknown(self, call: ServerCall) -> None:
         call.finish(Status.UNIMPLEMENTED, f"no method {call.path[:200]}")
@@ -271,8 +278,8 @@
         """No new connections and no new calls; those begun go on. With paths to `keep`, new connections are taken for
         these alone: calls of all others are refused."""
         self.leaving, self.kept = True, keep
-        if self.socket is not None and not keep:
-            self.socket.close()
+        if not keep:
+            self.acceptor.close()
         for peer in list(self.peers):
             peer.link.go_away(why="shutting down")
             peer.wire.flush_soon()
@@ -280,8 +287,7 @@
     async def drain(self, timeout: float) -> bool:
         """After `go_away`: wait until all calls are answered and written, at most `timeout` ms. True if they were."""
         self.kept = frozenset()
-        if self.socket is not None:
-            self.socket.close()
+        self.acceptor.close()
         end = self.loop.time() + timeout / 1000.0
         while any(peer.link.streams for peer in self.peers) and self.loop.time() < end:
             await asyncio.sleep(0.02)
@@ -297,7 +303,6 @@
         self.closed = True
         if self._look:
             self._look.cancel()
-        if self.socket is not None:
-            self.socket.close()
+        self.acceptor.close()
         for peer in list(self.peers):
             peer.wire.end("closed", at_once=True)
--- a/sprucespool/transport/opener.py
+++ b/sprucespool/transport/opener.py
@@ -4,12 +4,18 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Awaitable, Callable
 from typing import Generic, Protocol, TypeVar
 
+from sprucespool.transport.errors import PASSING_ERRORS, PASSING_PAUSE
 from sprucespool.transport.plan import PoolLimits, PoolPlan, Slot
 from sprucespool.transport.wire import Wire
 
 
+async def _no_wait() -> None:
+    pass
+
+
 class Connection(Protocol):
     """`note` brings its slot up to date."""
 
@@ -26,7 +32,11 @@
 class Opener(Generic[Conn, Call]):
     """To be told of a lost connection by `drop`. What waits is placed, and refused, by those who know the calls."""
 
-    def __init__(self, host: str, port: int, limits: PoolLimits, seed: int):
+    def __init__(
+        self, host: str, port: int, limits: PoolLimits, seed: int, settle: Callable[[], Awaitable[None]] = _no_wait
+    ):
+        # Awaited before anything is written on a new connection: what came during a stall is read first.
+        self.settle = settle
         self.host, self.port = host, port
         self.plan = PoolPlan(limits, seed)
         self.loop = asyncio.get_running_loop()
@@ -60,12 +70,10 @@
 
     async def _connect(self, slot: Slot):
         conn = self.connection(slot)
-        source = self.plan.limits.source
         try:
             async with asyncio.timeout(self.plan.limits.connect_timeout / 1000.0):
-                await self.loop.create_connection(
-                    lambda: conn.wire, self.host, self.port, local_addr=(source, 0) if source else None
-                )
+                await self._open_socket(conn)
+            await self.settle()
         except (OSError, TimeoutError) as problem:
             why = f"{type(problem).__name__}: {problem}"
             self.plan.slots.remove(slot)
@@ -86,6 +94,20 @@
         conn.note()
         self.place_waiting()
 
+    async def _open_socket(self, conn: Conn) -> None:
+        """Connect; what fails for want of something on this machine is tried again until the connect time is up."""
+        source = self.plan.limits.source
+        while True:
+            try:
+                await self.loop.create_connection(
+                    lambda: conn.wire, self.host, self.port, local_addr=(source, 0) if source else None
+                )
+                return
+            except OSError as problem:
+                if problem.errno not in PASSING_ERRORS:
+                    raise
+            await asyncio.sleep(PASSING_PAUSE)
+
     def drop(self, conn: Conn) -> None:
         self.conns.pop(conn.slot, None)
         if conn.slot in self.plan.slots:
--- a/sprucespool/transport/turn.py
+++ b/sprucespool/transport/turn.py
@@ -1,4 +1,4 @@
-"""One turn of the loop around a gateway, the same at every door: inputs together, one wake-up, how late it runs."""
+"""One turn of the loop around a gateway, the same for every server: inputs together, one wake-up."""
 
 from __future__ import annotations
 
@@ -6,8 +6,12 @@
 from collections.abc import Callable
 
 from sprucespool.gateway import messages as ms
+from sprucespool.transport.pace import MOST_ROUNDS, LoopPace
 
-LAG_EVERY = 0.02
+# Against sending to an endpoint that drains, or for a client that left, because of the order in which sockets were
+# read: of what came in one turn, changes of the fleet count first, then clients that left.
+FIRST_INPUTS: dict[type, int] = {ms.Roster: 0, ms.Left: 1}
+OTHER_INPUTS = 2
 
 
 class Turn:
@@ -16,13 +20,16 @@
     def __init__(self, take: Callable[[float, list[ms.Input]], None], after: Callable[[], None]):
         self.take, self.after = take, after
         self.loop = asyncio.get_running_loop()
+        self.pace = LoopPace(self.loop)
         self.inputs: list[ms.Input] = []
         self.scheduled, self.closed = False, False
         self.wake: asyncio.TimerHandle | None = None
-        # How late the loop runs, as a timer of its own sees it; smoothed, since one slow turn is no jam.
-        self.lag = 0.0
-        self.lag_due = self.loop.time() + LAG_EVERY
-        self.lag_timer = self.loop.call_at(self.lag_due, self._lag)
+        self._planned_at, self._postponed = 0.0, 0
+
+    @property
+    def lag(self) -> float:
+        """How late the loop runs, smoothed."""
+        return self.pace.lag
 
     def now(self) -> float:
         return self.loop.time() * 1000.0
@@ -33,8 +40,20 @@
             return
         self.inputs.append(given)
         if not self.scheduled:
-            self.scheduled = True
-            self.loop.call_soon(self.flush)
+            self.scheduled, self._postponed = True, 0
+            self._plan()
+
+    def _plan(self) -> None:
+        self._planned_at = self.loop.time()
+        self.loop.call_soon(self._run)
+
+    def _run(self) -> None:
+        """After a stall the decisions wait for what came meanwhile: cancellations, drains, answers."""
+        if not self.closed and self._postponed < MOST_ROUNDS and not self.pace.settled(self._planned_at):
+            self._postponed += 1
+            self._plan()
+        else:
+            self.flush()
 
     def withdraw(self, given: ms.Input) -> bool:
         """Take back what was told in this very turn; False where it went in already."""
@@ -50,6 +69,7 @@
         if self.closed:
             return
         inputs, self.inputs = self.inputs, []
+        inputs.sort(key=lambda given: FIRST_INPUTS.get(type(given), OTHER_INPUTS))
         self.take(self.now(), inputs)
         self.after()
 
@@ -62,14 +82,8 @@
         self.wake = None
         self.tell(ms.Woke())
 
-    def _lag(self):
-        now = self.loop.time()
-        self.lag += 0.3 * (max(0.0, now - self.lag_due) * 1000.0 - self.lag)
-        self.lag_due = now + LAG_EVERY
-        self.lag_timer = self.loop.call_at(self.lag_due, self._lag)
-
     def close(self) -> None:
         self.closed = True
-        self.lag_timer.cancel()
+        self.pace.close()
         if self.wake is not None:
             self.wake.cancel()
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -76,15 +76,27 @@
 
     def _flush(self):
         self.scheduled = False
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the link has to say now, message by message where it gives one at a time."""
+        while not self.lost and self.transport is not None:
+            out, drained = self.link.outgoing(data_too=not self.paused)
+            if out:
+                self.transport.write(out)
+                if self.transport.get_write_buffer_size() > self.high_water + MOST_UNREAD:
+                    return self.end("the peer does not read")
+            if drained:
+                self.on_events(self, list(drained))
+            if self.paused or not self.link.more:
+                return
+
+    @property
+    def unwritten(self) -> bool:
+        """Whether something said is not with the system yet."""
         if self.lost or self.transport is None:
-            return
-        out, drained = self.link.outgoing(data_too=not self.paused)
-        if out:
-            self.transport.write(out)
-            if self.transport.get_write_buffer_size() > self.high_water + MOST_UNREAD:
-                return self.end("the peer does not read")
-        if drained:
-            self.on_events(self, list(drained))
+            return False
+        return self.scheduled or self.paused or self.transport.get_write_buffer_size() > 0
 
     def pause_writing(self) -> None:
         self.paused = True
@@ -94,6 +106,8 @@
         self.flush_soon()
 
     def eof_received(self) -> bool:
+        """A peer that sends no more has gone: known now, not when what is still to be written has been."""
+        self._gone(self.why or "closed by the peer")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -38,9 +38,17 @@
     assert forwards(world.arrive("warm")[1])
 
 
+def make_busy(world):
+    """Enough own calls within a keep-alive that the traffic of this controller is not thin."""
+    for _ in range(5 * len(world.invokers)):
+        for forward in forwards(world.arrive("favourite")[1]):
+            world.end(forward)
+
+
 def test_what_went_with_an_invoker_is_loaded_again_before_it_is_asked_for():
     world = World(deployment())
     world.roster("w0", "w1")
+    make_busy(world)
     first = forwards(world.arrive("m")[1])[0]
     world.end(first)
     world.end(forwards(world.arrive("m")[1])[0])
@@ -231,6 +239,7 @@
 def test_what_waits_for_loads_eases_the_window_on_them():
     world = World(deployment(controllers=3))
     world.roster(*[f"w{n}" for n in range(6)])
+    make_busy(world)
     few = sum(bool(forwards(world.arrive(f"m{n}")[1])) for n in range(6))
     more = sum(bool(forwards(world.arrive(f"m{n}")[1])) for n in range(6, 60))
     # A few that wait change nothing; many of them mean that idle cores would shed for want of copies.
@@ -256,6 +265,7 @@
     def reached(found):
         world = World(deployment(controllers=3))
         world.roster(*[f"w{n}" for n in range(6)])
+        make_busy(world)
         for n in range(20):
             for forward in forwards(world.arrive(f"m{n}")[1]):
                 world.end(forward, found=found)
@@ -360,3 +370,22 @@
     assert played(it.Sharing(3, float("inf"))) == (0, True)
     cold, cheap = played()
     assert cold > 0 and not cheap
+
+
+def test_traffic_is_thin_by_own_calls_for_each_invoker_not_by_the_count_of_controllers():
+    # Thirty controllers at forty invokers see as little each as two hundred do: taken for busy, each loaded copies of
+    # its own, and half of the requests were shed beside idle cores.
+    def first_places(busy):
+        places = set()
+        for number in range(12):
+            world = World(deployment(controllers=12, own_number=number), seed=number)
+            world.roster(*[f"w{n}" for n in range(16)])
+            if busy:
+                make_busy(world)
+            for _ in range(6):
+                for forward in forwards(world.arrive("m")[1]):
+                    places.add(forward.invoker.name)
+                    world.end(forward)
+        return len(places)
+
+    assert first_places(busy=False) > 2 * first_places(busy=True)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -202,7 +202,7 @@
                 done = asyncio.Event()
                 invoker.ask(
                     tag,
-                    lambda link: link.run(tag, "call", KEY, 500, "", b""),
+                    lambda link: link.run(tag, "call", KEY, invoker.now() + 500, "", b""),
                     lambda end, done=done: (heard.append(end), done.set()),
                 )
                 await asyncio.wait_for(done.wait(), 2)
@@ -221,7 +221,7 @@
                 done = asyncio.Event()
                 invoker.ask(
                     tag,
-                    lambda link, tag=tag: link.run(tag, "call", KEY, 500, "", b""),
+                    lambda link, tag=tag: link.run(tag, "call", KEY, invoker.now() + 500, "", b""),
                     lambda end, done=done: (ends.append(end.value), done.set()),
                 )
                 await asyncio.wait_for(done.wait(), 2)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -124,7 +124,7 @@
 
 @given(CUTS, st.binary(max_size=200))
 def test_an_invokers_answers_are_the_same_however_cut_with_copies_and_strangers_between(cuts, body):
-    link = ln.InvokerLink()
+    link = ln.InvokerLink(lambda: 0.0)
     run(link)
     assert link.outgoing()[0] == (
         b"exec 9b1f03aa5c7e2d41 cls=call,item=7f3a9c21e0b4d655,limit=1500,nonce=" + b"ab" * 16 + b" 3\r\n\r\n\x00\r\n"
@@ -140,7 +140,7 @@
 
 @given(st.binary(max_size=400), CUTS)
 def test_noise_from_an_invoker_never_raises_what_is_no_named_error(data, cuts):
-    link = ln.InvokerLink()
+    link = ln.InvokerLink(lambda: 0.0)
     run(link)
     try:
         assert [a for piece in pieces(data, cuts) for a in link.receive(piece, 0.0)] == []
@@ -159,19 +159,19 @@
     ],
 )
 def test_good_answers_before_noise_count_and_lengths_told_are_never_awaited(noise):
-    link = ln.InvokerLink()
+    link = ln.InvokerLink(lambda: 0.0)
     run(link)
     link.probe("p1", True)
     answers = link.receive(b"p1 PONG meter=util:0.1 0\r\n\r\n" + noise, 0.0)
     assert [answer.tag for answer in answers] == ["p1"] and link.spoilt
-    fresh = ln.InvokerLink()
+    fresh = ln.InvokerLink(lambda: 0.0)
     run(fresh)
     with pytest.raises(ln.LineError):
         fresh.receive(noise, 0.0)
 
 
 def test_what_was_not_written_is_never_written_and_no_id_is_used_twice():
-    link = ln.InvokerLink()
+    link = ln.InvokerLink(lambda: 0.0)
     run(link)
     assert link.give_up("9b1f03aa5c7e2d41") is False and link.outgoing()[0] == b""
     with pytest.raises(ln.IllegalMove):
