--- a/sprucespool/transport/acceptor.py
+++ b/sprucespool/transport/acceptor.py
@@ -26,9 +26,8 @@
         factory: Callable[[float], asyncio.BaseProtocol],
         backlog: int,
         exhausted: Callable[[OSError], None],
-        make_socket: Callable[..., socket.socket] = socket.socket,
     ):
-        self.factory, self.backlog, self.exhausted, self.make_socket = factory, backlog, exhausted, make_socket
+        self.factory, self.backlog, self.exhausted = factory, backlog, exhausted
         self.loop = asyncio.get_running_loop()
         self.listeners: list[socket.socket] = []
         self.closed = False
@@ -56,7 +55,7 @@
         return self.listeners[0].getsockname()[1]
 
     def _listen(self, family: int, kind: int, protocol: int, address: tuple):
-        listener = self.make_socket(family, kind, protocol)
+        listener = socket.socket(family, kind, protocol)
         self.listeners.append(listener)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if family == socket.AF_INET6:
--- /dev/null
+++ b/tests/faulty_sockets.py
@@ -0,0 +1,124 @@
+"""Sockets whose system calls fail, are short or are held at chosen calls, for the controller under test alone."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+SHORT = 0
+# What Linux documents for each call of the kind that passes, or that ends the connection alone.
+ERRORS = {
+    "accept": [
+        errno.ECONNABORTED,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EPROTO,
+        errno.ENETDOWN,
+        errno.EHOSTUNREACH,
+        errno.ETIMEDOUT,
+        errno.EINTR,
+    ],
+    "connect": [
+        errno.EADDRNOTAVAIL,
+        errno.ENETUNREACH,
+        errno.ENOBUFS,
+        errno.ECONNREFUSED,
+        errno.ETIMEDOUT,
+        errno.EHOSTUNREACH,
+    ],
+    "send": [
+        SHORT,
+        SHORT,
+        errno.EPIPE,
+        errno.ECONNRESET,
+        errno.ETIMEDOUT,
+        errno.EHOSTUNREACH,
+        errno.EAGAIN,
+        errno.EINTR,
+    ],
+    "recv": [SHORT, SHORT, errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.EAGAIN, errno.EINTR],
+}
+# Those after which the connection of a client may go on.
+HARMLESS = [SHORT, errno.EAGAIN, errno.EINTR]
+
+
+@dataclass
+class Faults:
+    """`planned` maps (side, call, n-th of that) to an errno, or SHORT; sides are "client" and "invoker"."""
+
+    planned: dict[tuple[str, str, int], int] = field(default_factory=dict)
+    invoker_ports: set[int] = field(default_factory=set)
+    listening: bool = False
+    # While set, nothing is written to invokers beyond so many bytes of each call.
+    hold_sends: int | None = None
+    counts: Counter = field(default_factory=Counter)
+    injected: list[tuple[str, str, int]] = field(default_factory=list)
+
+    def next_fault(self, side: str, call: str) -> int | None:
+        self.counts[side, call] += 1
+        found = self.planned.get((side, call, self.counts[side, call]))
+        if found is not None:
+            self.injected.append((side, call, found))
+        return found
+
+
+class FaultySocket(socket.socket):
+    """A socket that asks the faults of its class before each call, if it belongs to the controller."""
+
+    faults = Faults()
+
+    def __init__(self, *args, side: str = "", **kwargs):
+        super().__init__(*args, **kwargs)
+        self.side = side
+
+    def _fault(self, call: str) -> int | None:
+        found = self.faults.next_fault(self.side, call) if self.side else None
+        if found is not None and found != SHORT:
+            raise OSError(found, "injected")
+        return found
+
+    def bind(self, address):
+        super().bind(address)
+        if self.faults.listening:
+            self.side = "client"
+
+    def accept(self):
+        self._fault("accept")
+        number, address = self._accept()
+        return FaultySocket(self.family, self.type, self.proto, fileno=number, side=self.side), address
+
+    def connect(self, address):
+        if address[1] in self.faults.invoker_ports:
+            self.side = "invoker"
+        self._fault("connect")
+        return super().connect(address)
+
+    def send(self, data, *flags):
+        short = self._fault("send") is not None
+        if self.side == "invoker" and self.faults.hold_sends is not None:
+            if self.faults.hold_sends == 0:
+                raise BlockingIOError(errno.EAGAIN, "held")
+            data, self.faults.hold_sends = memoryview(data)[: self.faults.hold_sends], 0
+        return super().send(memoryview(data)[:1] if short else data, *flags)
+
+    def recv_into(self, buffer, nbytes=0, flags=0):
+        short = self._fault("recv") is not None
+        return super().recv_into(buffer, 1 if short else nbytes, flags)
+
+
+@contextmanager
+def faulty_sockets(faults: Faults) -> Iterator[Faults]:
+    """Within, sockets made by this process are `FaultySocket`s."""
+    usual = socket.socket
+    FaultySocket.faults = faults
+    socket.socket = FaultySocket  # type: ignore[misc]
+    try:
+        yield faults
+    finally:
+        socket.socket = usual  # type: ignore[misc]
--- /dev/null
+++ b/tests/platform_scene.py
@@ -0,0 +1,264 @@
+"""A controller of the platform between stand-ins on loopback whose steps a test holds and releases."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import time
+from collections.abc import Callable
+
+from platform_world import asked, configuration
+
+from sprucespool.node.clock import AnchoredClock
+from sprucespool.node.logs import Log
+from sprucespool.node.serve import Node
+from sprucespool.relay.configuration import read
+
+KEY = "7f3a9c21e0b4d655"
+
+
+def hit(tag: str, body: bytes = b"ok") -> bytes:
+    return f"{tag} HIT tell=resident {len(body)}\r\n".encode() + body + b"\r\n"
+
+
+class InvokerStandIn:
+    """Keeps each whole line with the time at which it came; `behave(tag)` gives what it answers to a run, or None."""
+
+    def __init__(self, behave: Callable[[str], bytes | None] = hit, full: bool = False):
+        self.behave, self.full = behave, full
+        self.lines: list[tuple[list[str], float]] = []
+        self.writers: list[asyncio.StreamWriter] = []
+        self.connections = 0
+
+    async def start(self) -> InvokerStandIn:
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0 if self.full else 100)
+        self.port = self.listener.getsockname()[1]
+        self.fillers: list[socket.socket] = []
+        if self.full:
+            self._fill()
+        else:
+            self.server = await asyncio.start_server(self._serve, sock=self.listener)
+        return self
+
+    def _fill(self):
+        """Take all places of the accept queue: a connection that is begun now does not come up."""
+        while True:
+            filler = socket.socket()
+            filler.settimeout(0.05)
+            self.fillers.append(filler)
+            try:
+                filler.connect(("127.0.0.1", self.port))
+            except TimeoutError:
+                return
+
+    async def accept_now(self):
+        """Let connections come up; the system tries one that was begun again within a second or so."""
+        self.server = await asyncio.start_server(self._serve, sock=self.listener, backlog=100)
+        for filler in self.fillers:
+            filler.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        try:
+            while line := await reader.readline():
+                words = line.decode().split()
+                if words[0] == "exec":
+                    await reader.readexactly(int(words[3]) + 2)
+                self.lines.append((words, time.monotonic()))
+                answer = self.behave(words[1]) if words[0] == "exec" else None
+                if answer:
+                    writer.write(answer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    def runs(self) -> list[str]:
+        return [words[1] for words, _ in self.lines if words[0] == "exec"]
+
+    def dropped(self) -> list[str]:
+        return [words[1] for words, _ in self.lines if words[0] == "drop"]
+
+    def limits(self) -> list[float]:
+        fields = [words[2] for words, _ in self.lines if words[0] == "exec"]
+        return [float(dict(part.split("=") for part in one.split(","))["limit"]) for one in fields]
+
+    def close(self):
+        for filler in self.fillers:
+            filler.close()
+        self.listener.close()
+        for writer in self.writers:
+            writer.close()
+
+
+class ChannelStandIn:
+    """Writes what it is told to, on the watches that stand; comments only when told to."""
+
+    def __init__(self):
+        self.asked: list[str] = []
+        self.writers: list[asyncio.StreamWriter] = []
+        self.over: set[asyncio.StreamWriter] = set()
+        self.answers = True
+
+    async def start(self) -> ChannelStandIn:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader, writer):
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        self.asked.append(next(line for line in head.decode().split("\r\n") if line.startswith("Last-Event-ID"))[15:])
+        self.writers.append(writer)
+        if self.answers:
+            self.begin(writer)
+        try:
+            await reader.read()
+        except ConnectionError:
+            pass
+        self.over.add(writer)
+
+    def begin(self, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n")
+
+    def tell(self, data: bytes, watch: int = -1):
+        self.writers[watch].write(data)
+
+    def ended(self, watch: int) -> bool:
+        return self.writers[watch] in self.over
+
+    def close(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+
+def entry(number: int, *hosts: tuple, whole: bool = False, born: int = 0) -> dict:
+    return {
+        "cursor": number,
+        "nodes": {
+            "seq": number,
+            "whole": whole,
+            "hosts": [
+                {
+                    "host": name,
+                    "dial": f"127.0.0.1:{port}",
+                    "site": "east",
+                    "class": "std",
+                    "block": 1,
+                    "health": health,
+                    "share": 1,
+                    "born_ms": born,
+                }
+                for name, port, health in hosts
+            ],
+        },
+    }
+
+
+def event(number: int, *hosts: tuple, whole: bool = False, born: int = 0) -> bytes:
+    return b"id: %d\ndata: %b\n\n" % (number, json.dumps(entry(number, *hosts, whole=whole, born=born)).encode())
+
+
+class RawClient:
+    """A client on a blocking socket: what it sends is with the system before the controller runs again."""
+
+    def __init__(self, port: int, receive_buffer: int = 0):
+        self.sock = socket.socket()
+        if receive_buffer:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.sock.connect(("127.0.0.1", port))
+
+    def send(self, data: bytes):
+        self.sock.sendall(data)
+
+    def close(self, reset: bool = False):
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+
+    async def read(self, seconds: float = 3.0) -> bytes:
+        """All that came within the time, or until the connection's end."""
+        self.sock.setblocking(False)
+        loop, data = asyncio.get_running_loop(), b""
+        try:
+            async with asyncio.timeout(seconds):
+                while part := await loop.sock_recv(self.sock, 65_536):
+                    data += part
+        except (TimeoutError, ConnectionError):
+            pass
+        return data
+
+    async def answers(self, count: int, seconds: float = 3.0) -> list[tuple[int, int, int]]:
+        """(type, stream, code) of so many frames, or of as many as came."""
+        self.sock.setblocking(False)
+        loop, data = asyncio.get_running_loop(), b""
+        found: list[tuple[int, int, int]] = []
+        try:
+            async with asyncio.timeout(seconds):
+                while len(found) < count and (part := await loop.sock_recv(self.sock, 65_536)):
+                    data += part
+                    while len(data) >= 4 and len(data) >= 4 + (size := int.from_bytes(data[:4], "big")):
+                        found.append((data[4], int.from_bytes(data[5:9], "big"), data[9]))
+                        data = data[4 + size :]
+        except (TimeoutError, ConnectionError):
+            pass
+        return found
+
+
+class Scene:
+    """One controller, its invokers and its command channel."""
+
+    def __init__(self, *invokers: InvokerStandIn, clock: AnchoredClock | None = None, **change):
+        self.invokers, self.channel, self.clock, self.change = invokers, ChannelStandIn(), clock, change
+
+    async def __aenter__(self) -> Scene:
+        for invoker in self.invokers:
+            await invoker.start()
+        await self.channel.start()
+        first = entry(1, *[(f"s-{n}", one.port, "up") for n, one in enumerate(self.invokers)], whole=True)
+        told = configuration(channel=f"127.0.0.1:{self.channel.port}", known={"cursor": 1, "cmds": [first]})
+        told.update(self.change)
+        self.node = Node("", read(json.dumps(told).encode()), Log("error"), self.clock)
+        self.port = await self.node.start()
+        while not self.channel.asked:
+            await asyncio.sleep(0.01)
+        return self
+
+    async def client(self, receive_buffer: int = 0) -> RawClient:
+        """A client whose connection the controller has accepted."""
+        accepted = self.node.door.front.accepted
+        client = RawClient(self.port, receive_buffer)
+        while self.node.door.front.accepted == accepted:
+            await asyncio.sleep(0.005)
+        return client
+
+    async def warmed(self) -> RawClient:
+        """A client, with a connection to the first invoker standing and idle."""
+        client = await self.client()
+        client.send(asked(1, id="f" * 16))
+        assert await client.answers(1) == [(17, 1, 0)]
+        return client
+
+    async def __aexit__(self, *problem):
+        self.node.close()
+        self.channel.close()
+        for invoker in self.invokers:
+            invoker.close()
+        await asyncio.sleep(0.02)
+
+
+async def until(condition: Callable[[], object], seconds: float = 4.0):
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def played(scene):
+    asyncio.run(asyncio.wait_for(scene(), 25))
