--- a/sprucespool/daemon/failover.py
+++ b/sprucespool/daemon/failover.py
@@ -115,6 +115,8 @@
         assert plan.group is not None
         self.codec = Codec(plan.group.name, plan.group.mark)
         self.topology, self.zone = Topology.of(told.zones, told.distances), plan.controller.zone
+        # The last ballot, where it could not be written yet.
+        self.unkept: Ballot | None = None
         # Who cannot read its ballot gives no vote for a while: it may have given one.
         self.file = SnapshotFile(told.keep, log, MOST_BALLOT) if told.keep else None
         self.failover = kind(
@@ -177,6 +179,8 @@
                 self.meter.emptied()
             self.failover.know(now, states)
             self.failover.know_members(self._speakers())
+        if self.unkept is not None and self.file is not None:
+            self._keep(self.file, self.unkept)
         self._do(self.failover.tick(now))
         if self.failover.council.leads(now):
             self._pass(
@@ -253,13 +257,17 @@
         for effect in effects:
             if isinstance(effect, Keep):
                 if self.file is not None:
-                    self.file.write(kept(effect.ballot))
-            elif isinstance(effect, Tell) and effect.to in where:
+                    self._keep(self.file, effect.ballot)
+            elif isinstance(effect, Tell) and effect.to in where and self.unkept is None:
                 self._send(where[effect.to], Said(self.failover.name, self.failover.epoch, effect.word))
         for event in self.failover.take_events():
             log = self.log.warning if event.kind in LOUD else self.log.info
             log("failover", kind=event.kind, epoch=event.epoch, **({"why": event.why} if event.why else {}))
 
+    def _keep(self, file: SnapshotFile, promised: Ballot):
+        """What is told rests on the ballot: while it does not last nothing is told, as if the messages were lost."""
+        self.unkept = None if file.write(kept(promised)) else promised
+
     def _send(self, to: str, said: Said):
         self.group.send_plan(to, self.codec.encode(said))
 
--- a/sprucespool/daemon/fleet.py
+++ b/sprucespool/daemon/fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -21,6 +20,7 @@
 from sprucespool.membership import Event
 from sprucespool.membership.messages import MOVES
 from sprucespool.settings.controller import ControllerPlan, FleetView, GroupPlan, address
+from sprucespool.transport.clock import AnchoredClock
 from sprucespool.transport.listener import Method, ServerCall, unary
 from sprucespool.wire import names, outcomes
 from sprucespool.wire import platform_pb2 as platform
@@ -84,7 +84,7 @@
         tell: Callable[[ms.Input], None],
         log: Any,
         kind: type[Fleet] = Fleet,
-        wall: Callable[[], float] = time.time,
+        wall: Callable[[], float] | None = None,
     ):
         self.plan, self.told, self.group, self.tell, self.log, self.kind, self.wall = (
             plan,
@@ -93,7 +93,7 @@
             tell,
             log,
             kind,
-            wall,
+            wall or AnchoredClock().unix,
         )
         self.loop = asyncio.get_running_loop()
         self.codec = Codec(group_plan.name, group_plan.mark)
--- a/sprucespool/daemon/learning.py
+++ b/sprucespool/daemon/learning.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -18,6 +17,7 @@
 from sprucespool.learning import Ask, CodecError, Newcomer, NewcomerLimits, Tell, Teller, decode, encode
 from sprucespool.learning.codec import MOST_BYTES
 from sprucespool.settings.controller import Learning, address
+from sprucespool.transport.clock import AnchoredClock
 from sprucespool.transport.listener import Method, ServerCall, unary
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.pool import ENDS, Heard, Pool
@@ -41,11 +41,12 @@
         log: Any,
         about: Metadata,
         seed: int,
-        wall: Callable[[], float] = time.time,
+        wall: Callable[[], float] | None = None,
         source: str = "",
     ):
         self.source = source
-        self.plan, self.tell, self.log, self.about, self.wall = plan, tell, log, about, wall
+        self.plan, self.tell, self.log, self.about = plan, tell, log, about
+        self.wall = wall or AnchoredClock().unix
         self.loop = asyncio.get_running_loop()
         self.newcomer = Newcomer(
             [source.address for source in plan.sources], keep_alive, NewcomerLimits(within=plan.within)
--- a/sprucespool/daemon/logs.py
+++ b/sprucespool/daemon/logs.py
@@ -12,12 +12,31 @@
 LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 
 
+class _Sink:
+    """A file whose failures take nothing else with them: a log that can't be written is missing some lines."""
+
+    def __init__(self, file: TextIO):
+        self.file = file
+
+    def write(self, text: str) -> None:
+        try:
+            self.file.write(text)
+        except OSError:
+            pass
+
+    def flush(self) -> None:
+        try:
+            self.file.flush()
+        except OSError:
+            pass
+
+
 def opened(level: str, file: str | None, **always: Any) -> Any:
     """A logger. `file` None writes to standard error. Raises OSError where the file can't be opened."""
-    sink: TextIO = open(file, "a", buffering=1) if file else sys.stderr
+    sink = _Sink(open(file, "a", buffering=1) if file else sys.stderr)
     encoder = msgspec.json.Encoder(enc_hook=str)
     return structlog.wrap_logger(
-        structlog.WriteLogger(sink),
+        structlog.WriteLogger(sink),  # type: ignore[arg-type]
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
--- a/sprucespool/daemon/serve.py
+++ b/sprucespool/daemon/serve.py
@@ -20,7 +20,7 @@
 from sprucespool.daemon.roster import RosterFile, RosterWatch
 from sprucespool.failover import Failover, Steer
 from sprucespool.fleet import Fleet
-from sprucespool.gateway import Decider, Gateway
+from sprucespool.gateway import Decider, Gateway, Recorder
 from sprucespool.gateway import messages as ms
 from sprucespool.grpc.status import Limits
 from sprucespool.membership import Event, Group
@@ -180,8 +180,8 @@
             self.group.stop()
         self.door.close()
         self.listener.close()
-        if self.sink:
-            self.sink.close()
+        if isinstance(self.door.taker, Recorder):
+            self.door.taker.close()
 
 
 async def _serve(
--- a/sprucespool/gateway/record.py
+++ b/sprucespool/gateway/record.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from typing import BinaryIO
+from typing import Any, BinaryIO
 
 import msgspec
 
@@ -32,18 +32,37 @@
 class Recorder:
     """Stands before a gateway and writes each batch down before it is taken: length-framed msgpack.
 
-    A record cut off in the middle of a frame is good up to there.
+    A record cut off in the middle of a frame is good up to there. One that can't be written on ends there: a gap would
+    make what follows another course of things, and serving goes on without it.
     """
 
     def __init__(self, gateway: Gateway, sink: BinaryIO):
         self.gateway, self.sink = gateway, sink
         self.encoder = msgspec.msgpack.Encoder()
-        sink.write(_framed(self.encoder.encode(_Head(MARK, gateway.seed, msgspec.to_builtins(gateway.deployment)))))
+        # Why nothing more is written.
+        self.ended = ""
+        self._write(_Head(MARK, gateway.seed, msgspec.to_builtins(gateway.deployment)))
+
+    def _write(self, what: Any) -> None:
+        if self.ended:
+            return
+        try:
+            self.sink.write(_framed(self.encoder.encode(what)))
+        except OSError as problem:
+            self.ended = str(problem)
+            self.gateway.port(ms.Note(f"the record of inputs ends: {problem}", fault=True))
 
     def take(self, now: float, inputs: list[ms.Input]) -> None:
-        self.sink.write(_framed(self.encoder.encode((now, inputs))))
+        self._write((now, inputs))
         self.gateway.take(now, inputs)
 
+    def close(self) -> None:
+        """Write what is left. An error is noted like any other."""
+        try:
+            self.sink.close()
+        except OSError as problem:
+            self.ended = self.ended or str(problem)
+
 
 def _frames(source: BinaryIO) -> Iterator[bytes]:
     while len(head := source.read(4)) == 4:
--- a/sprucespool/node/channel.py
+++ b/sprucespool/node/channel.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from sprucespool.gateway import messages as ms
-from sprucespool.node.clock import AnchoredClock
+from sprucespool.transport.clock import AnchoredClock
 from sprucespool.node.logs import Log
 from sprucespool.relay.feed import EntryError, FeedLink, Roster, Told
 from sprucespool.transport.wire import Wire
--- a/sprucespool/node/door.py
+++ b/sprucespool/node/door.py
@@ -12,7 +12,7 @@
 from sprucespool import interface as it
 from sprucespool.gateway import Gateway
 from sprucespool.gateway import messages as ms
-from sprucespool.node.clock import AnchoredClock
+from sprucespool.transport.clock import AnchoredClock
 from sprucespool.node.clients import Front, Peer
 from sprucespool.node.invokers import Ask, Invoker
 from sprucespool.node.logs import Log
--- a/sprucespool/node/logs.py
+++ b/sprucespool/node/logs.py
@@ -30,7 +30,11 @@
         if self.least and self.lines > MOST_A_SECOND:
             return
         more = "".join(f" {name}={value}" for name, value in facts.items())
-        sys.stderr.write(f"{now:.3f} {level} {event}{more}\n")
+        try:
+            sys.stderr.write(f"{now:.3f} {level} {event}{more}\n")
+        except OSError:
+            # A log that can't be written (a full disk, a reader that has gone) takes nothing else with it.
+            pass
 
     def debug(self, event: str, **facts: Any) -> None:
         if not self.least:
--- a/sprucespool/node/serve.py
+++ b/sprucespool/node/serve.py
@@ -13,7 +13,7 @@
 
 from sprucespool import interface as it
 from sprucespool.node.channel import Channel
-from sprucespool.node.clock import AnchoredClock
+from sprucespool.transport.clock import AnchoredClock
 from sprucespool.node.door import Door
 from sprucespool.node.logs import Log
 from sprucespool.relay.configuration import Configuration, ConfigurationError, read
--- a/sprucespool/node/clock.py
+++ b/sprucespool/transport/clock.py
@@ -13,5 +13,9 @@
         self._monotonic = monotonic
         self._offset = wall() - monotonic()
 
+    def unix(self) -> float:
+        """In seconds."""
+        return self._monotonic() + self._offset
+
     def unix_ms(self) -> float:
         return (self._monotonic() + self._offset) * 1000.0
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -10,7 +10,7 @@
 
 from platform_world import asked, configuration
 
-from sprucespool.node.clock import AnchoredClock
+from sprucespool.transport.clock import AnchoredClock
 from sprucespool.node.logs import Log
 from sprucespool.node.serve import Node
 from sprucespool.relay.configuration import read
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -12,7 +12,7 @@
 from platform_scene import InvokerStandIn, RawClient, Scene, entry, event, hit, played, until
 from platform_world import SETTINGS, asked
 
-from sprucespool.node.clock import AnchoredClock
+from sprucespool.transport.clock import AnchoredClock
 from sprucespool.node.serve import start_patiently
 from sprucespool.relay.feed import LATEST_NEWS, Roster, Told
 from sprucespool.transport.acceptor import Acceptor
