--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,164 @@
+"""Signals that cross each other, the start and what is owed, on the process that the platform runs."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+from platform_scene import ChannelStandIn, InvokerStandIn, RawClient, entry, hit, played, until
+from platform_world import asked, configuration
+
+pytestmark = pytest.mark.sockets
+
+
+class Process:
+    """One controller process between stand-ins; `config` is the file that it was started with."""
+
+    def __init__(self, folder, invoker: InvokerStandIn, channel: ChannelStandIn):
+        self.invoker, self.channel = invoker, channel
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.port = free.getsockname()[1]
+        self.config = folder / "config.json"
+        self.write(channel.port)
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", "sprucespool.node"],
+            stderr=subprocess.PIPE,
+            text=True,
+            env={**os.environ, "RELAY_CONFIG": str(self.config)},
+        )
+
+    def write(self, channel_port: int):
+        known = {"cursor": 1, "cmds": [entry(1, ("s-0", self.invoker.port, "up"), whole=True)]}
+        told = configuration(listen=f"127.0.0.1:{self.port}", channel=f"127.0.0.1:{channel_port}", known=known)
+        self.config.write_text(json.dumps(told))
+
+    async def serving(self):
+        await until(lambda: self.channel.asked, 10.0)
+
+    async def ended(self, seconds: float) -> int:
+        return await asyncio.to_thread(self.popen.wait, seconds)
+
+    def close(self) -> str:
+        self.popen.kill()
+        self.popen.wait()
+        assert self.popen.stderr is not None
+        said = self.popen.stderr.read()
+        self.popen.stderr.close()
+        return said
+
+
+def with_process(tmp_path, scene, behave=hit):
+    async def run():
+        invoker, channel = await InvokerStandIn(behave).start(), await ChannelStandIn().start()
+        process = Process(tmp_path, invoker, channel)
+        try:
+            await scene(process)
+        finally:
+            said = process.close()
+            invoker.close()
+            channel.close()
+        assert "Traceback" not in said, said
+
+    played(run)
+
+
+def test_a_second_sigterm_and_a_sighup_during_the_end_change_nothing(tmp_path):
+    async def scene(process):
+        other = await ChannelStandIn().start()
+        await process.serving()
+        client = RawClient(process.port)
+        client.send(asked(1))
+        assert await client.answers(1) == [(17, 1, 0)]
+        process.popen.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        process.popen.send_signal(signal.SIGTERM)
+        process.write(other.port)
+        process.popen.send_signal(signal.SIGHUP)
+        # Discovery goes on to be heard at its new address, and what comes is answered.
+        await until(lambda: other.asked)
+        client.send(asked(2))
+        assert (17, 2, 0) in await client.answers(2)
+        assert await process.ended(4.0) == 0
+        other.close()
+
+    with_process(tmp_path, scene)
+
+
+def test_sigterm_while_the_process_starts_ends_it_without_a_trace(tmp_path):
+    async def scene(process):
+        # Before the interpreter has read the program, and a little later.
+        await asyncio.sleep(0.15)
+        process.popen.send_signal(signal.SIGTERM)
+        assert await process.ended(6.0) in (0, -signal.SIGTERM)
+
+    for delay in range(2):
+        folder = tmp_path / str(delay)
+        folder.mkdir()
+        with_process(folder, scene)
+
+
+def test_an_unreadable_new_configuration_is_one_line_and_the_old_one_stands(tmp_path):
+    async def scene(process):
+        await process.serving()
+        process.config.unlink()
+        process.popen.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+        client = RawClient(process.port)
+        client.send(asked(1))
+        assert await client.answers(1) == [(17, 1, 0)]
+        # It comes while it is still tried: a read that fails for a moment loses no configuration.
+        other = await ChannelStandIn().start()
+        process.write(other.port)
+        await until(lambda: other.asked)
+        other.close()
+
+    with_process(tmp_path, scene)
+
+
+def test_five_configurations_in_quick_succession_the_last_one_bad(tmp_path):
+    async def scene(process):
+        await process.serving()
+        channels = [await ChannelStandIn().start() for _ in range(4)]
+        for channel in channels:
+            process.write(channel.port)
+            process.popen.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.03)
+        process.config.write_text("{")
+        process.popen.send_signal(signal.SIGHUP)
+        await until(lambda: channels[-1].asked)
+        await asyncio.sleep(0.2)
+        assert process.popen.poll() is None and len(channels[-1].asked) == 1
+        client = RawClient(process.port)
+        client.send(asked(1))
+        assert await client.answers(1) == [(17, 1, 0)]
+        for channel in channels:
+            channel.close()
+
+    with_process(tmp_path, scene)
+
+
+def test_an_address_that_another_process_still_holds_is_waited_for(tmp_path):
+    async def scene(process):
+        await process.serving()
+        second = subprocess.Popen(
+            [sys.executable, "-m", "sprucespool.node"],
+            stderr=subprocess.DEVNULL,
+            env={**os.environ, "RELAY_CONFIG": str(process.config)},
+        )
+        try:
+            await asyncio.sleep(1.0)
+            process.popen.kill()
+            killed = time.monotonic()
+            await until(lambda: len(process.channel.asked) == 2, 6.0)
+            assert second.poll() is None and time.monotonic() - killed < 2.0
+        finally:
+            second.kill()
+            second.wait()
+
+    with_process(tmp_path, scene)
