--- a/sprucespool/daemon/door.py
+++ b/sprucespool/daemon/door.py
@@ -138,6 +138,17 @@
 
     def tell(self, given: ms.Input) -> None:
         self.turn.tell(given)
+        if isinstance(given, ms.Roster):
+            self._withdraw_from(given)
+
+    def _withdraw_from(self, news: ms.Roster):
+        """What waits for a connection to an invoker that drains or has left goes on elsewhere."""
+        serving = {row.invoker for row in news.rows if row.status == it.Status.IN_SERVICE.value}
+        whole = news.kind == it.News.REPLACE.value
+        named = list(self.pools) if whole else [row.invoker for row in news.rows]
+        for name in named:
+            if name in self.pools and name not in serving:
+                self.pools[name].withdraw_waiting("the invoker drains or has left")
 
     def _after(self):
         ended, self.ended = self.ended, []
@@ -312,7 +323,7 @@
             host, port = address(name)
             # Each pool draws its own pauses, each controller other ones.
             seed = self.plan.seed * 1000 + self.plan.controller.number + len(self.pools) * 7919
-            self.pools[name] = Pool(host, port, self.far_limits, self.pool_limits, seed)
+            self.pools[name] = Pool(host, port, self.far_limits, self.pool_limits, seed, self.turn.pace.settle)
         return self.pools[name]
 
     def _forward(self, effect: ms.SendForward):
--- a/sprucespool/transport/opener.py
+++ b/sprucespool/transport/opener.py
@@ -12,8 +12,8 @@
 from sprucespool.transport.wire import Wire
 
 
-async def _no_wait() -> None:
-    pass
+async def no_wait() -> None:
+    """Settle at once."""
 
 
 class Connection(Protocol):
@@ -33,7 +33,7 @@
     """To be told of a lost connection by `drop`. What waits is placed, and refused, by those who know the calls."""
 
     def __init__(
-        self, host: str, port: int, limits: PoolLimits, seed: int, settle: Callable[[], Awaitable[None]] = _no_wait
+        self, host: str, port: int, limits: PoolLimits, seed: int, settle: Callable[[], Awaitable[None]] = no_wait
     ):
         # Awaited before anything is written on a new connection: what came during a stall is read first.
         self.settle = settle
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from sprucespool.grpc.link import Answered, ClientLink, Drained, Event, GoingAway, Message, Ponged, Reset
 from sprucespool.grpc.status import Limits, Metadata
-from sprucespool.transport.opener import Opener
+from sprucespool.transport.opener import Opener, no_wait
 from sprucespool.transport.plan import PoolLimits, Slot
 from sprucespool.transport.wire import Wire
 
@@ -130,8 +130,16 @@
 class Pool(Opener[_Conn, PoolCall]):
     """All that goes to one address."""
 
-    def __init__(self, host: str, port: int, limits: Limits, pool_limits: PoolLimits, seed: int):
-        super().__init__(host, port, pool_limits, seed)
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        limits: Limits,
+        pool_limits: PoolLimits,
+        seed: int,
+        settle: Callable[[], Awaitable[None]] = no_wait,
+    ):
+        super().__init__(host, port, pool_limits, seed, settle)
         self.limits, self.authority = limits, f"{host}:{port}"
 
     def connection(self, slot: Slot) -> _Conn:
@@ -158,6 +166,12 @@
                 self.open()
         return call
 
+    def withdraw_waiting(self, why: str) -> None:
+        """Nothing new may go there: what waits for a connection never leaves."""
+        left, self.waiting = list(self.waiting), deque()
+        for call in left:
+            call.end(Unconnected(why))
+
     def place_waiting(self) -> None:
         while self.waiting:
             call = self.waiting[0]
@@ -211,6 +225,4 @@
             task.cancel()
         for conn in list(self.conns.values()):
             conn.wire.end("the pool is closed")
-        left, self.waiting = list(self.waiting), deque()
-        for call in left:
-            call.end(Unconnected("the pool is closed"))
+        self.withdraw_waiting("the pool is closed")
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -66,6 +66,8 @@
         try:
             while line := await reader.readline():
                 words = line.decode().split()
+                if not words:
+                    continue
                 if words[0] == "exec":
                     await reader.readexactly(int(words[3]) + 2)
                 self.lines.append((words, time.monotonic()))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,12 +3,19 @@
 import asyncio
 import json
 import time
+from types import SimpleNamespace
 
 import pytest
 from faulty_sockets import Faults, faulty_sockets
 from platform_scene import ChannelStandIn, InvokerStandIn, RawClient, Scene, entry, event, hit, played, until
 from platform_world import SETTINGS, asked, frame
 
+from sprucespool.daemon.door import Door
+from sprucespool.gateway import messages as ms
+from sprucespool.grpc.status import Limits
+from sprucespool.transport.plan import PoolLimits
+from sprucespool.transport.pool import Pool, Unconnected
+
 pytestmark = pytest.mark.sockets
 
 STALL = 0.4
@@ -541,3 +548,39 @@
             one.close()
 
     played(scene)
+
+
+# The gRPC door's connections
+
+
+def test_a_call_that_waits_for_a_connection_of_a_pool_is_withdrawn_by_a_drain():
+    async def scene():
+        heard = []
+        one = await InvokerStandIn(full=True).start()
+        pool = Pool("127.0.0.1", one.port, Limits(), PoolLimits(connect_timeout=3_000.0), 1)
+        pool.call("/a/B", {}, 2_000.0, b"x", heard.append)
+        await asyncio.sleep(0.05)
+        pool.withdraw_waiting("drains")
+        assert [type(event) for event in heard] == [Unconnected]
+        await one.accept_now()
+        await until(lambda: pool.conns)
+        await asyncio.sleep(0.05)
+        [conn] = pool.conns.values()
+        assert not conn.calls and len(heard) == 1
+        pool.close()
+        one.close()
+
+    played(scene)
+
+
+def test_news_of_a_drain_reach_the_pools_of_the_door():
+    withdrawn = []
+    door = Door.__new__(Door)
+    door.pools = {
+        name: SimpleNamespace(withdraw_waiting=lambda why, name=name: withdrawn.append(name)) for name in "abc"
+    }
+    door.turn = SimpleNamespace(tell=lambda given: None)
+    door.tell(ms.Roster("update", 1, [ms.Row("a", status="draining"), ms.Row("b"), ms.Row("x", status="gone")]))
+    assert withdrawn == ["a"]
+    door.tell(ms.Roster("replace", 2, [ms.Row("b")]))
+    assert withdrawn == ["a", "a", "c"]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -389,3 +389,22 @@
         return len(places)
 
     assert first_places(busy=False) > 2 * first_places(busy=True)
+
+
+def test_a_time_out_after_little_time_says_nothing_of_the_invoker():
+    # Invokers may drop without a word what has a few ms left: each of those closed a window and struck a warm copy.
+    def warm_left_after(ttl):
+        world = World(deployment())
+        world.roster("w0")
+        make_busy(world)
+        for _ in range(3):
+            [forward] = forwards(world.arrive("m")[1])
+            world.wait(100.0)
+            world.end(forward)
+        pod, model = world.invokers["w0"].belief, world.models["m"].belief
+        window = pod.window
+        assert forwards(world.arrive("m", ttl=ttl)[1])
+        world.wait(ttl + 50.0)
+        return pod in model.warm, pod.window == window
+
+    assert warm_left_after(20.0) == (True, True) and warm_left_after(900.0) == (False, False)
