--- a/sprucespool/policy/beliefs.py
+++ b/sprucespool/policy/beliefs.py
@@ -49,6 +49,11 @@
     def size(self) -> float:
         return self.entry.size
 
+    @property
+    def busy(self) -> bool:
+        """Whether a pulse has something to do with it."""
+        return bool(self.out) or self.suspect or self.carried > 0 or self.rate > 1e-9
+
     @property
     def work(self) -> int:
         # What waits for a load takes no core: it must not keep the warm copies beside it idle.
--- a/sprucespool/policy/controller.py
+++ b/sprucespool/policy/controller.py
@@ -82,6 +82,8 @@
         self.now, self.armed, self.counter = 0.0, math.inf, 0
         self.actions = [SetTimer(PULSE_EVERY, PULSE)] + [Subscribe(True)] * deployment.roster_asked
         self.pulses = 0
+        # Those of which something changes with time: the pulse looks at no others.
+        self.active: dict[Worker, None] = {}
         self.pods, self.dues, self.near, self.in_flight = [], [], 0, 0
         self.fleet = Fleet()
         # Pods that may be suspects; models by the time at which something of theirs must be looked at.
@@ -151,6 +153,8 @@
                 if not pod.serving:
                     pod.serving = changed = True
                     self._count_in(pod, 1)
+                    if pod.busy:
+                        self.active[pod] = None
                     self.pods.append(pod)
                     self.fleet.came(pod)
                     self._file(pod)
@@ -434,7 +438,7 @@
         forward.belief = SimpleNamespace(pod=pod, at=self.now, cold=cold, rescued=False)
         inf.forwards.append(forward)
         mind.tried.append(pod)
-        mind.out[forward] = pod.out[forward] = None
+        mind.out[forward] = pod.out[forward] = self.active[pod] = None
         self.in_flight += pod.serving
         pod.cold += forward.belief.cold
         mdl.busy[pod] = mdl.busy.get(pod, 0) + 1
@@ -765,6 +769,7 @@
 
     def _doubt(self, pod: Worker):
         pod.rumour = False
+        self.active[pod] = None
         if not pod.suspect:
             pod.suspect, pod.trial_at = True, self.now + pod.trial_gap
             if pod.serving:
@@ -788,7 +793,7 @@
         thin = self._thin()
         if len(self.pods) > WHOLE:
             self._file_known()
-        for pod in self.pods:
+        for pod in [pod for pod in self.active if pod.serving]:
             if thin and pod.suspect and self.now >= pod.trial_at:
                 # Its few places in the draw are trial enough: forced ones would take most of thin traffic.
                 pod.suspect, pod.trial_gap = False, min(2 * pod.trial_gap, LAST_TRIAL)
@@ -799,6 +804,7 @@
             if pod.out and any(self._overdue(forward) for forward in pod.out):
                 # Takes work and answers nothing: hung, cut off, dead but not listed so.
                 self._doubt(pod)
+        self.active = {pod: None for pod in self.active if pod.busy}
         cut_off = self.ill and self._healthy() is not self.pods
         lost = [forward for pod in self.pods if pod.suspect for forward in pod.out] if cut_off else ()
         for forward in lost:
