Two event loops in one process no longer read into the same memory

Ruled out: bytes in pieces (test_link plays every split), the preface, a drain under way. Cause: transport/wire.py had one read buffer for the whole process. A loop that has read gives up the interpreter before it takes what it read; another thread's loop then reads over it. standin/links.py had the same for relays. Also: AnchoredClock.unix_ms goes by unix().

--- a/sprucespool/standin/links.py
+++ b/sprucespool/standin/links.py
@@ -15,13 +15,13 @@
 
 from sprucespool.faults import Links, LinkState
 from sprucespool.links import address
+from sprucespool.transport.read_buffer import read_buffer
 
 # What a relay holds of one direction before it stops reading; how late a lost piece comes, as TCP sends it again.
 MOST_HELD, AGAIN_AFTER = 1 << 20, 200.0
 # What a cut held for longer never arrives: when it ends, such a connection is reset, as boxes on the way do that forgot
 # it. Else calls long given up would reach their invokers when the network heals, and look as if sent then.
 STALE = 400.0
-BUFFER = memoryview(bytearray(64 * 1024))
 
 
 class _End(asyncio.BufferedProtocol):
@@ -30,6 +30,7 @@
     def __init__(self, pipe: _Pipe, made: Callable[[_End], None], lost: Callable[[_End], None]):
         self.pipe, self.made, self.lost = pipe, made, lost
         self.transport: asyncio.Transport | None = None
+        self._read_buffer = read_buffer()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -37,10 +38,10 @@
         self.made(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return BUFFER
+        return self._read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.pipe.take(bytes(BUFFER[:nbytes]))
+        self.pipe.take(bytes(self._read_buffer[:nbytes]))
 
     def eof_received(self) -> bool:
         return False
--- a/sprucespool/transport/clock.py
+++ b/sprucespool/transport/clock.py
@@ -18,4 +18,4 @@
         return self._monotonic() + self._offset
 
     def unix_ms(self) -> float:
-        return (self._monotonic() + self._offset) * 1000.0
+        return self.unix() * 1000.0
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -7,9 +7,8 @@
 from typing import Any
 
 from sprucespool.links import Link, LinkError
+from sprucespool.transport.read_buffer import read_buffer
 
-# One for all connections: what is read is copied before the next read, so thousands of idle ones need no buffer.
-BUFFER = memoryview(bytearray(256 * 1024))
 HIGH_WATER = 256 * 1024
 # Control frames that a peer provokes and does not read.
 MOST_UNREAD = 1024 * 1024
@@ -41,6 +40,8 @@
         self.on_closed: Callable[[Wire], None] = lambda wire: None
         self.link, self.on_events, self.on_lost, self.on_made = link, on_events, on_lost, on_made
         self.loop = asyncio.get_running_loop()
+        # Shared with the loop's other connections: thousands of idle ones need no memory of their own.
+        self._read_buffer = read_buffer()
         self.transport: asyncio.Transport | None = None
         self.paused, self.scheduled, self.lost = False, False, False
         self.opened = self.heard = self.loop.time() * 1000.0
@@ -55,14 +56,14 @@
         self.flush_soon()
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return BUFFER
+        return self._read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         if self.lost:
             return
         self.heard = self.loop.time() * 1000.0
         try:
-            events = self.link.receive(BUFFER[:nbytes], self.heard)
+            events = self.link.receive(self._read_buffer[:nbytes], self.heard)
         except LinkError as problem:
             return self.end(str(problem))
         if events:
