A gRPC call is written when it is decided, and taken back while the system has not taken it

Seen by probes on real sockets: a call placed on a connection whose peer does not read waits behind up to 256 KB and more, and can't be withdrawn by a drain, a cancel or its deadline (tests/test_pool_crossings.py: written when the peer reads again). An answer of 24 MB in one turn over wide windows was taken for "the peer does not read" and its connection cut, with all answers on it (transport/wire.py counted what was handed over before the system paused). Change: connections of a pool are held from the first byte that the system does not take; calls wait in the pool, or open another connection, until it does; what is past its deadline there never leaves. A call taken back whose headers the system never took ends its connection after 50 ms, as on the platform's own links. Also: one typed reading of a list's change (relay/feed.py) in place of three; one patience at the start (node/serve.py); orders are sorted in one place (policy/shared_order.py).

--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -426,6 +426,11 @@
         self._out.clear()
         return out, drained
 
+    def control_size(self) -> int:
+        """Bytes of frames other than DATA that are to be written."""
+        self._out.append(self.h2.data_to_send())
+        return sum(map(len, self._out))
+
     def _pump(self, drained: list[Event]):
         """Round the streams, a frame each, so that no long answer holds up the others."""
         turn = list(self.sending)
--- a/sprucespool/node/serve.py
+++ b/sprucespool/node/serve.py
@@ -10,6 +10,8 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
+from typing import TypeVar
 
 from sprucespool import interface as it
 from sprucespool.node.channel import Channel
@@ -32,6 +34,7 @@
 START_PATIENCE = 8.0
 # Pauses, in seconds, between readings of a new configuration that could not be read.
 READING_PAUSES = (0.05, 0.1, 0.2, 0.4, 0.8)
+Result = TypeVar("Result")
 
 
 def _plan(path: str) -> Configuration:
@@ -123,15 +126,26 @@
         self.door.close()
 
 
+class StartPatience:
+    """How long a start goes on trying against a machine that lacks something for a moment."""
+
+    def __init__(self) -> None:
+        self._until = time.monotonic() + START_PATIENCE
+
+    def allows(self, problem: OSError) -> bool:
+        """Whether it is worth another try."""
+        passing = problem.errno in PASSING_ERRORS or problem.errno == errno.EADDRINUSE
+        return passing and time.monotonic() <= self._until
+
+
 async def start_patiently(node: Node, early: list[int]) -> int:
     """Start; what fails for want of something on this machine is tried again for a while."""
-    until = node.loop.time() + START_PATIENCE
+    patience = StartPatience()
     while True:
         try:
             return await node.start()
         except OSError as problem:
-            passing = problem.errno in PASSING_ERRORS or problem.errno == errno.EADDRINUSE
-            if not passing or node.loop.time() > until or signal.SIGTERM in early:
+            if not patience.allows(problem) or signal.SIGTERM in early:
                 raise
         await asyncio.sleep(PASSING_PAUSE)
 
@@ -185,26 +199,18 @@
     return 0
 
 
-def _patiently(call):
+def _patiently(call: Callable[[], Result]) -> Result:
     """The call's result; what fails for want of something on this machine is tried again for a while."""
-    until = time.monotonic() + START_PATIENCE
+    patience = StartPatience()
     while True:
         try:
             return call()
         except OSError as problem:
-            if problem.errno not in PASSING_ERRORS or time.monotonic() > until:
+            if not patience.allows(problem):
                 raise
         time.sleep(PASSING_PAUSE)
 
 
-def _read_at_start(path: str) -> Configuration:
-    return _patiently(lambda: _plan(path))
-
-
-def _new_loop() -> asyncio.AbstractEventLoop:
-    return _patiently(asyncio.new_event_loop)
-
-
 def serve(early: list[int]) -> int:
     """Run one controller until it is told to end; gives the exit status. `early` holds signals that came before."""
     path = os.environ.get("RELAY_CONFIG", "")
@@ -212,12 +218,12 @@
         print("expected RELAY_CONFIG to name the configuration file", file=sys.stderr)
         return 2
     try:
-        plan = _read_at_start(path)
+        plan = _patiently(lambda: _plan(path))
     except OSError as problem:
         print(f"RELAY_CONFIG {path}: {problem.strerror or problem}", file=sys.stderr)
         return 2
     except ConfigurationError as problem:
         print(f"RELAY_CONFIG {path}: {problem}", file=sys.stderr)
         return 2
-    with asyncio.Runner(loop_factory=_new_loop) as runner:
+    with asyncio.Runner(loop_factory=lambda: _patiently(asyncio.new_event_loop)) as runner:
         return runner.run(_serve(path, plan, Log(os.environ.get("SPRUCESPOOL_LOG", "info")), early))
--- a/sprucespool/policy/shared_order.py
+++ b/sprucespool/policy/shared_order.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import heapq
 import math
 from collections.abc import Iterable
 from typing import Protocol
@@ -109,8 +110,8 @@
             floor = PRIME - PRIME * CHOSEN_FROM * PART // len(serving)
             salt = self.salt
             drawn = [worker for worker in serving if salt * worker.salt % PRIME > floor]
-            members = sorted(drawn, key=lambda worker: self._key(worker, slow))[:PART]
-        self.order = sorted(members, key=lambda worker: self._key(worker, slow)) if current else list(members)
+            members = heapq.nsmallest(PART, drawn, key=lambda worker: self._key(worker, slow))
+        self.order = sorted(members, key=lambda worker: self._key(worker, slow))
         self._draws = {worker: self._draws[worker] for worker in self.order}
         if not current and self.order:
             self._last = self._key(self.order[-1], slow)
--- a/sprucespool/relay/feed.py
+++ b/sprucespool/relay/feed.py
@@ -127,7 +127,8 @@
     def start(self, commands: list[Any], unix: float) -> None:
         """Compare the own clock with the youngest invoker of the list that a process begins with."""
         self.began = unix
-        born = [time for command in commands for time in _births(command)]
+        changes = [change for change in map(read_change, commands) if change is not None]
+        born = [time for change in changes for time in change.births()]
         if not born:
             return
         youngest = unix - max(born)
@@ -143,11 +144,33 @@
         return age
 
 
-def _births(command: Any) -> list[float]:
+@dataclass(slots=True, frozen=True)
+class ListChange:
+    """What a command says of the list of invokers; `hosts` is None where it has no list of them."""
+
+    hosts: list[Any] | None
+    whole: bool
+    version: int
+
+    def births(self) -> list[float]:
+        """The wall times (ms) of those of its invokers that have one."""
+        told = [host.get("born_ms") for host in self.hosts or [] if isinstance(host, dict)]
+        return [float(born) for born in told if isinstance(born, int | float) and born > 0 and math.isfinite(born)]
+
+
+def read_change(command: Any) -> ListChange | None:
+    """None for a command of another kind, which is not about invokers."""
     nodes = command.get("nodes") if isinstance(command, dict) else None
-    hosts = nodes.get("hosts") if isinstance(nodes, dict) else None
-    births = [host.get("born_ms") for host in hosts if isinstance(host, dict)] if isinstance(hosts, list) else []
-    return [float(born) for born in births if isinstance(born, int | float) and born > 0 and math.isfinite(born)]
+    if nodes is None:
+        return None
+    if not isinstance(nodes, dict):
+        return ListChange(None, False, 0)
+    hosts, version = nodes.get("hosts"), nodes.get("seq")
+    return ListChange(
+        hosts if isinstance(hosts, list) else None,
+        nodes.get("whole") is True,
+        version if isinstance(version, int) else 0,
+    )
 
 
 class Roster:
@@ -168,7 +191,7 @@
         for command in commands:
             number = command.get("cursor") if isinstance(command, dict) else None
             if isinstance(number, int) and number > self.last:
-                news += self._read(number, command, unix)
+                news += self._read(number, read_change(command), unix)
         self.last = max(self.last, cursor)
         return news
 
@@ -180,48 +203,44 @@
             command = msgspec.json.decode(event.data)
         except msgspec.DecodeError as problem:
             raise EntryError(f"event {event.number}: expected JSON: {problem}") from None
-        nodes = command.get("nodes") if isinstance(command, dict) else None
-        if event.number != self.last + 1 and not (isinstance(nodes, dict) and nodes.get("whole") is True):
+        change = read_change(command)
+        if event.number != self.last + 1 and not (change is not None and change.whole):
             return None
-        return self._read(event.number, command, unix)
+        return self._read(event.number, change, unix)
 
     def pass_over(self, event: Told, unix: float) -> list[ms.Roster]:
         """What can be used of an event that has something else in it, however often it is asked for."""
         try:
             command = msgspec.json.decode(event.data)
-            return self._read(event.number, command, unix, lenient=True)
+            return self._read(event.number, read_change(command), unix, lenient=True)
         except (msgspec.DecodeError, EntryError):
             self.last = event.number
             return []
 
-    def _read(self, number: int, command: Any, unix: float, lenient: bool = False) -> list[ms.Roster]:
-        nodes = command.get("nodes") if isinstance(command, dict) else None
-        if nodes is None:
-            # A kind of event that is not about invokers.
+    def _read(self, number: int, change: ListChange | None, unix: float, lenient: bool = False) -> list[ms.Roster]:
+        if change is None:
             self.last = number
             return []
-        hosts = nodes.get("hosts") if isinstance(nodes, dict) else None
-        if not isinstance(hosts, list):
+        if change.hosts is None:
             raise EntryError(f"event {number}: expected nodes with hosts")
         rows = []
-        for host in hosts:
+        for host in change.hosts:
             try:
                 rows.append(self._row(number, host, unix))
             except EntryError:
                 if not lenient:
                     raise
-        whole, version = nodes.get("whole") is True, nodes.get("seq")
         self.last = number
-        if whole:
+        if change.whole:
             self.places = {}
         for row, place in rows:
             if row.status == it.Status.GONE.value:
                 self.places.pop(row.invoker, None)
             else:
                 self.places[row.invoker] = place
-        news = it.News.REPLACE if whole else it.News.UPDATE
-        listed = [row for row, _ in rows if not whole or row.status != it.Status.GONE.value]
-        return [ms.Roster(news.value, version if isinstance(version, int) else 0, listed)]
+        news = it.News.REPLACE if change.whole else it.News.UPDATE
+        listed = [row for row, _ in rows if not change.whole or row.status != it.Status.GONE.value]
+        return [ms.Roster(news.value, change.version, listed)]
 
     def _row(self, number: int, host: Any, unix: float) -> tuple[ms.Row, Place]:
         if not isinstance(host, dict):
--- a/sprucespool/transport/plan.py
+++ b/sprucespool/transport/plan.py
@@ -47,7 +47,8 @@
 
 @dataclass(slots=True, eq=False)
 class Slot:
-    """One connection as the plan sees it. `room` is how many more calls its peer takes; `used` since when idle."""
+    """One connection as the plan sees it. `room` is how many more calls its peer takes; `held`: the system takes
+    nothing more to be written on it for now."""
 
     ready: bool = False
     room: int = 0
@@ -55,6 +56,7 @@
     idle_since: float = 0.0
     heard: float = 0.0
     pinged: float | None = None
+    held: bool = False
 
 
 class PoolPlan:
@@ -70,7 +72,7 @@
 
         None and no reason: it waits for a connection that is being opened.
         """
-        open_to = [slot for slot in self.slots if slot.ready and slot.room > 0]
+        open_to = [slot for slot in self.slots if slot.ready and slot.room > 0 and not slot.held]
         if open_to:
             return min(open_to, key=lambda slot: slot.open_calls), False, ""
         opening = sum(not slot.ready for slot in self.slots)
@@ -78,7 +80,8 @@
             return None, False, "not tried again yet after a failed connection"
         if waiting >= self.limits.waiting:
             return None, False, "too many calls wait for a connection"
-        full = sum(slot.ready for slot in self.slots)
+        # One that is held takes calls again when its peer reads: they wait for it.
+        full = sum(slot.ready and not (slot.held and slot.room > 0) for slot in self.slots)
         if full >= self.limits.connections and not opening:
             return None, False, "all connections are full"
         # One at a time: a burst must not open a connection for each of its calls.
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -28,13 +28,17 @@
 
 
 Heard = Message | Answered | Reset | Drained | Unconnected | Broken
+# Nothing is written ahead of what the system takes: what waits here can still be withdrawn.
+HIGH_WATER = 0
+# Seconds for which a call that was taken back may be left half written.
+UNWRITTEN = 0.05
 ENDS = (Answered, Reset, Unconnected, Broken)
 
 
 class PoolCall:
     """One call of a client. `heard` gets its events; the last is one of ENDS, exactly one. After `cancel`, none."""
 
-    __slots__ = ("pool", "path", "metadata", "until", "messages", "heard", "conn", "stream", "over")
+    __slots__ = ("pool", "path", "metadata", "until", "messages", "heard", "conn", "stream", "begun_at", "over")
 
     def __init__(
         self,
@@ -49,6 +53,8 @@
         self.messages, self.heard = message, heard
         self.conn: _Conn | None = None
         self.stream, self.over = 0, False
+        # What the system has taken of the connection's bytes when it has the call's headers.
+        self.begun_at = 0
 
     def cancel(self) -> None:
         """Nobody waits any more: RST_STREAM(CANCEL) if it left, else it never does."""
@@ -59,6 +65,7 @@
             self.conn.forget(self.stream)
             self.conn.link.reset(self.stream)
             self.conn.wire.flush_soon()
+            self.conn.taken_back(self)
 
     def consumed(self, size: int) -> None:
         """So many bytes of results left for good: the invoker may send as many more."""
@@ -78,7 +85,8 @@
     def __init__(self, pool: Pool, slot: Slot):
         self.pool, self.slot = pool, slot
         self.calls: dict[int, PoolCall] = {}
-        self.wire = Wire(ClientLink(pool.limits), self._events, self._lost)
+        self.wire = Wire(ClientLink(pool.limits), self._events, self._lost, high_water=HIGH_WATER)
+        self.wire.on_paused = self._paused
 
     @property
     def link(self) -> ClientLink:
@@ -89,11 +97,27 @@
         left = max(1.0, call.until - now) if call.until is not None else None
         call.conn, call.stream = self, self.link.call(call.path, self.pool.authority, call.metadata, left)
         self.calls[call.stream] = call
+        call.begun_at = self.wire.handed + self.link.control_size()
         self.link.send(call.stream, call.messages)
         self.link.half_close(call.stream)
         call.messages = b""
         self.note()
-        self.wire.flush_soon()
+        # At once: between a decision and its writing nothing may come that would have changed it.
+        self.wire.flush()
+
+    def taken_back(self, call: PoolCall):
+        """Against a call that begins at the peer long after it was called off, when the peer reads again."""
+        if self.wire.taken < call.begun_at and not self.wire.lost:
+            self.pool.loop.call_later(UNWRITTEN, self._end_if_unwritten, call)
+
+    def _end_if_unwritten(self, call: PoolCall):
+        if self.wire.taken < call.begun_at:
+            self.wire.end("a call taken back is still unwritten", at_once=True)
+
+    def _paused(self, wire: Wire):
+        self.slot.held = wire.paused
+        if not wire.paused and self.slot.ready:
+            self.pool.place_waiting()
 
     def note(self):
         self.slot.room, self.slot.open_calls, self.slot.heard = self.link.room, len(self.calls), self.wire.heard
@@ -179,6 +203,10 @@
                 self.waiting.popleft()
                 continue
             now = self.now()
+            if call.until is not None and call.until <= now:
+                self.waiting.popleft()
+                self.unconnected(call, "its time was up before it could leave")
+                continue
             slot, opens, why = self.plan.place(now, 0)
             if slot is None:
                 if why:
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -38,6 +38,10 @@
         # said after `delay` ms, then the peer is heard out for `linger` ms. 0: closed as soon as they are written.
         self.delay = self.linger = 0.0
         self.on_closed: Callable[[Wire], None] = lambda wire: None
+        # Told when the system takes no more for now, and when it does again.
+        self.on_paused: Callable[[Wire], None] = lambda wire: None
+        # Bytes handed to the transport; those of them handed while the system took no more.
+        self.handed = self._handed_paused = 0
         self.link, self.on_events, self.on_lost, self.on_made = link, on_events, on_lost, on_made
         self.loop = asyncio.get_running_loop()
         # Shared with the loop's other connections: thousands of idle ones need no memory of their own.
@@ -84,8 +88,11 @@
         while not self.lost and self.transport is not None:
             out, drained = self.link.outgoing(data_too=not self.paused)
             if out:
+                self.handed += len(out)
+                if self.paused:
+                    self._handed_paused += len(out)
                 self.transport.write(out)
-                if self.transport.get_write_buffer_size() > self.high_water + MOST_UNREAD:
+                if self._handed_paused > MOST_UNREAD:
                     return self.end("the peer does not read")
             if drained:
                 self.on_events(self, list(drained))
@@ -99,11 +106,18 @@
             return False
         return self.scheduled or self.paused or self.transport.get_write_buffer_size() > 0
 
+    @property
+    def taken(self) -> int:
+        """Bytes that the system took of what was handed over."""
+        return self.handed - (self.transport.get_write_buffer_size() if self.transport is not None else 0)
+
     def pause_writing(self) -> None:
         self.paused = True
+        self.on_paused(self)
 
     def resume_writing(self) -> None:
-        self.paused = False
+        self.paused, self._handed_paused = False, 0
+        self.on_paused(self)
         self.flush_soon()
 
     def eof_received(self) -> bool:
--- /dev/null
+++ b/tests/test_pool_crossings.py
@@ -0,0 +1,197 @@
+"""Calls of a pool against a peer that stops reading: what was not taken by the system can still be taken back."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+from faulty_sockets import Faults, faulty_sockets
+from platform_scene import played, until
+
+from sprucespool.grpc import Status
+from sprucespool.grpc.link import Began, ClientLink, HalfClosed, Message, ServerLink
+from sprucespool.grpc.status import Limits
+from sprucespool.transport.listener import Listener, Server, unary
+from sprucespool.transport.plan import PoolLimits
+from sprucespool.transport.pool import Broken, Pool, Unconnected
+
+pytestmark = pytest.mark.sockets
+
+WIDE = Limits(stream_window=32 * 2**20, link_window=32 * 2**20, message=32 * 2**20)
+# More than the buffers of the system hold between two sockets.
+LARGE = 24 * 2**20
+SMALL_BUFFER = 16 * 1024
+
+
+class HeldPeer:
+    """Accepts one connection and reads on it only when told to."""
+
+    def __init__(self):
+        self.listening = socket.socket()
+        self.listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        self.listening.bind(("127.0.0.1", 0))
+        self.listening.listen()
+        self.listening.setblocking(False)
+        self.port = self.listening.getsockname()[1]
+        self.link = ServerLink(WIDE)
+        self.events = []
+        self.ended = False
+
+    async def accept(self):
+        loop = asyncio.get_running_loop()
+        self.connection, _ = await loop.sock_accept(self.listening)
+        self.connection.setblocking(False)
+        await self.read(0.2)
+
+    async def read(self, quiet):
+        """Read and answer frames until nothing has come for so many seconds."""
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            while not self.ended:
+                await loop.sock_sendall(self.connection, self.link.outgoing()[0])
+                data = await asyncio.wait_for(loop.sock_recv(self.connection, 1 << 18), quiet)
+                self.ended = not data
+                for event in self.link.receive(data, 0.0):
+                    self.events.append(event)
+                    if isinstance(event, Message):
+                        self.link.consumed(event.stream, event.size)
+
+    @property
+    def begun(self):
+        return [event.path for event in self.events if isinstance(event, Began)]
+
+    def close(self):
+        self.connection.close()
+        self.listening.close()
+
+
+@contextlib.asynccontextmanager
+async def pool_and_peer(**limits):
+    """A pool with one connection to a peer that has shaken hands."""
+    peer = HeldPeer()
+    pool = Pool("127.0.0.1", peer.port, WIDE, PoolLimits(connect_timeout=3_000.0, **limits), 1)
+    warm = []
+    pool.call("/a/Warm", {}, 5_000.0, b"", warm.append)
+    await peer.accept()
+    assert peer.begun == ["/a/Warm"]
+    yield pool, peer
+    pool.close()
+    peer.close()
+
+
+async def held_by_a_large_call(pool):
+    large = []
+    call = pool.call("/a/Large", {}, 10_000.0, b"x" * LARGE, large.append)
+    await until(lambda: all(conn.wire.paused for conn in pool.conns.values()))
+    return call, large
+
+
+@pytest.mark.parametrize("how", ["cancel", "drain", "deadline"])
+def test_a_call_behind_an_unread_socket_can_be_taken_back(how):
+    async def scene():
+        async with pool_and_peer(connections=1) as (pool, peer):
+            await held_by_a_large_call(pool)
+            heard = []
+            call = pool.call("/a/Behind", {}, 200.0 if how == "deadline" else 5_000.0, b"small", heard.append)
+            await asyncio.sleep(0.05)
+            assert not heard
+            if how == "cancel":
+                call.cancel()
+            elif how == "drain":
+                pool.withdraw_waiting("drains")
+                assert [type(event) for event in heard] == [Unconnected]
+            else:
+                await asyncio.sleep(0.25)
+            await peer.read(0.3)
+            assert peer.begun == ["/a/Warm", "/a/Large"]
+            assert [type(event) for event in heard] == ([] if how == "cancel" else [Unconnected])
+
+    played(scene)
+
+
+def test_a_call_behind_an_unread_socket_leaves_when_the_peer_reads_with_the_time_that_is_left():
+    async def scene():
+        async with pool_and_peer(connections=1) as (pool, peer):
+            await held_by_a_large_call(pool)
+            pool.call("/a/Behind", {}, 2_000.0, b"small", lambda event: None)
+            await asyncio.sleep(0.5)
+            await peer.read(0.3)
+            [behind] = [event for event in peer.events if isinstance(event, Began) and event.path == "/a/Behind"]
+            assert behind.timeout <= 1_550.0
+            whole = {event.stream for event in peer.events if isinstance(event, HalfClosed)}
+            assert behind.stream in whole and len(whole) == 3
+
+    played(scene)
+
+
+def test_a_call_beside_an_unread_socket_takes_another_connection():
+    async def scene():
+        async with pool_and_peer(connections=2) as (pool, peer):
+            await held_by_a_large_call(pool)
+            pool.call("/a/Beside", {}, 2_000.0, b"small", lambda event: None)
+            await until(lambda: len(pool.conns) == 2)
+            [free] = [conn for conn in pool.conns.values() if not conn.wire.paused]
+            await until(lambda: free.calls)
+            assert [call.path for call in free.calls.values()] == ["/a/Beside"]
+
+    played(scene)
+
+
+def test_a_call_taken_back_before_its_headers_left_ends_the_connection_and_never_begins():
+    async def scene():
+        with faulty_sockets(Faults()) as faults:
+            peer = HeldPeer()
+            faults.invoker_ports.add(peer.port)
+            pool = Pool("127.0.0.1", peer.port, WIDE, PoolLimits(connect_timeout=3_000.0), 1)
+            other = []
+            pool.call("/a/Warm", {}, 5_000.0, b"", other.append)
+            await peer.accept()
+            faults.hold_sends = 0
+            heard = []
+            call = pool.call("/a/Held", {}, 5_000.0, b"held", heard.append)
+            await asyncio.sleep(0.02)
+            call.cancel()
+            await asyncio.sleep(0.1)
+            faults.hold_sends = None
+            await peer.read(0.3)
+            assert peer.begun == ["/a/Warm"] and peer.ended
+            # What had left on the same connection may have run.
+            assert not heard and [type(event) for event in other] == [Broken]
+            pool.close()
+            peer.close()
+
+    played(scene)
+
+
+def test_a_large_answer_that_the_system_does_not_take_at_once_is_not_taken_for_a_peer_that_reads_nothing():
+    async def scene():
+        answer = b"a" * LARGE
+
+        def serve(call, data):
+            call.send(answer)
+            call.finish(Status.OK)
+
+        listener = Listener({"/a/Large": unary(serve)}, WIDE, Server())
+        port = await listener.start("127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        client.setblocking(False)
+        await loop.sock_connect(client, ("127.0.0.1", port))
+        link = ClientLink(WIDE)
+        number = link.call("/a/Large", "a", {}, 10_000.0)
+        link.send(number, b"")
+        link.half_close(number)
+        await loop.sock_sendall(client, link.outgoing()[0])
+        await asyncio.sleep(0.3)
+        got = []
+        while not got:
+            data = await asyncio.wait_for(loop.sock_recv(client, 1 << 18), 3.0)
+            assert data, "closed before the answer was whole"
+            got += [event for event in link.receive(data, 0.0) if isinstance(event, Message)]
+            await loop.sock_sendall(client, link.outgoing()[0])
+        assert len(got[0].data) == LARGE
+        client.close()
+        listener.close()
+
+    played(scene)
