Wall clock steps played on serve; who reads wall time at all is checked

The clock of serve was anchored, and no test stepped it. Three steps (-1 h, +1 h, 5 s) while it serves: answers, deadlines and the age of what is written stay. A second test names the files that read wall time and why a step changes nothing there.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,17 +1,22 @@
 """The daemon on loopback with grpcio, an independent client and server, at either door."""
 
 import asyncio
+import re
 import socket
 import threading
 import time
 from concurrent import futures
+from pathlib import Path
 
 import grpc
 import pytest
 from program import SETTINGS, Stage, request
 
+import sprucespool
 from sprucespool import interface as it
 from sprucespool.gateway.core import Counts
+from sprucespool.learning import decode
+from sprucespool.transport.clock import AnchoredClock
 from sprucespool.wire import inference_pb2 as oip
 from sprucespool.wire import names
 
@@ -165,6 +170,63 @@
             assert gone.wait(2), "the forward was not cancelled"
 
 
+@pytest.mark.parametrize("step", [-3600.0, 3600.0, 5.0])
+def test_a_wall_clock_stepped_while_serving_changes_no_deadline_and_no_answer(stage, tmp_path, monkeypatch, step):
+    real, steps = time.time, [0.0]
+
+    def wall():
+        return real() + steps[0]
+
+    # Where it is read for ages: see the test below.
+    monkeypatch.setattr(AnchoredClock.__init__, "__defaults__", (wall, time.monotonic))
+    snapshot = tmp_path / "known.snap"
+    more = f'learning {{ snapshot "{snapshot}" }}\nfleet keep-alive="20s"'
+    released = threading.Event()
+
+    def hang(data, context):
+        if oip.ModelInferRequest.FromString(data).id == "hangs":
+            released.wait(8)
+        return answered(data, context)
+
+    with Far(hang) as far:
+        daemon = stage.controller(tmp_path, [far.name], more)
+        with channel(daemon) as line:
+            assert line.unary_unary(INFER)(request(), timeout=5)
+            steps[0] = step
+            assert line.unary_unary(INFER)(request(), timeout=5)
+            began = time.monotonic()
+            # The client itself waits longer than the route time-out, to see the controller's own answer.
+            problem = failed(line.unary_unary(INFER), request("bill-1", "hangs"), timeout=10)
+            took = time.monotonic() - began
+            assert problem.code() in (Code.DEADLINE_EXCEEDED, Code.UNKNOWN) and 2.2 < took < 3.5
+            released.set()
+            told_left = [left for data, _, left in far.seen]
+            assert len(told_left) == 3 and 2.0 < told_left[2] <= 2.65
+            assert line.unary_unary(INFER)(request(), timeout=5)
+        stage.run(daemon.stop(1000))
+        # Ages in what was written count from the start by the monotonic clock.
+        assert abs(decode(snapshot.read_bytes())[1] / 1000.0 - real()) < 5.0
+        (tmp_path / "next").mkdir()
+        later = stage.controller(tmp_path / "next", [far.name], more)
+        with channel(later) as line:
+            assert line.unary_unary(INFER)(request(), timeout=5)
+        assert counts(stage, daemon).module_faults == counts(stage, later).module_faults == 0
+
+
+# A clock read once; the number of a process, raised by its group if the clock went back; stamps of a log.
+WALL_READERS = {"transport/clock.py", "daemon/group.py", "node/logs.py"}
+
+
+def test_wall_time_is_read_where_a_step_of_it_changes_nothing():
+    package = Path(sprucespool.__file__).parent
+    readers = {
+        str(path.relative_to(package))
+        for path in package.rglob("*.py")
+        if re.search(r"\btime\.time\b|\btime_ns\b|datetime|CLOCK_REALTIME|from time import", path.read_text())
+    }
+    assert readers == WALL_READERS
+
+
 def test_a_client_that_cancels_cancels_its_forward(stage, tmp_path):
     began, gone = threading.Event(), threading.Event()
 
