Traffic is thin by the invokers that are near, and by a whole keep-alive's calls

Cause: the spread over shared places. Own calls were held against all invokers, also those of other zones, which a price keeps this controller from using, and they are counted from nothing at the start, so that every process began as thin. Change (policy/controller.py, _thin): near invokers alone, and the part of a keep-alive that has been counted, a tenth at least.

--- a/sprucespool/policy/controller.py
+++ b/sprucespool/policy/controller.py
@@ -62,8 +62,9 @@
 # calls within a keep-alive that hold one of a favourite's places.
 RENEWALS, OTHERS_KEEP, PLACES, FEW_LOADS, QUEUED, STEP, LEAST_BARE = 3.0, 2.0, 3.0, 3.0, 2.0, 16, 0.1
 RENEWED_BY = 2.0
-# Of several controllers, own calls within a keep-alive for each invoker below which own entries lapse unrenewed.
-THIN_TRAFFIC = 4.0
+# Of several controllers, own calls within a keep-alive for each near invoker below which own entries lapse unrenewed.
+# The least part of a keep-alive that a process that just began is taken to have counted for.
+THIN_TRAFFIC, LEAST_COUNTED = 4.0, 0.1
 # Shared orders of the invokers, for all models together. The part of the cold budget used, as arrivals bunch; the
 # time over which carried work is averaged.
 ORDERS, COLD_CAUTION, CARRIED_OVER = 1024, 0.4, 5000.0
@@ -93,6 +94,8 @@
         self.usual = {group: RunningMean(group.slo_time / 4) for group in deployment.groups}
         self.loading = RunningMean(max(group.slo_time for group in deployment.groups))
         self.kinds, self.rates, self.even, self.bare, self.averaged = {}, {}, 0.0, 1.0, 0.0
+        # When the first request came.
+        self.began: float | None = None
         self.traffic, self.traffic_at, self.memory = 0.0, 0.0, max(deployment.keep_alive, 1.0)
         self.handlers = {
             Arrived: self._arrived,
@@ -190,6 +193,8 @@
 
     def _arrived(self, event: Arrived):
         inf = event.inference
+        if self.began is None:
+            self.began = self.now
         mdl = self._known(inf.model)
         mdl.part *= math.exp((mdl.asked_at - self.now) / self.memory)
         mdl.asked, mdl.asked_at = mdl.asked + 1, self.now
@@ -402,7 +407,11 @@
         """Own entries lapse before own traffic renews them: a favourite is sought in all its places."""
         if self.live > len(self.pods):
             return True
-        return self.live > 1 and self.traffic < THIN_TRAFFIC * len(self.pods)
+        if self.live == 1 or self.began is None:
+            return False
+        # Own calls are counted from nothing: what they will be in a whole keep-alive is in question.
+        counted = max(LEAST_COUNTED, 1.0 - math.exp((self.began - self.now) / self.memory))
+        return self.traffic < THIN_TRAFFIC * self.near * counted
 
     def _park(self, inf: Inference):
         if not inf.belief.out and (inf.belief.cheap or self._hopeless(inf)):
