--- a/tests/test_thin_traffic.py
+++ b/tests/test_thin_traffic.py
@@ -1,4 +1,4 @@
-"""Own traffic is thin where copies lapse before it renews them: only then is a model sought in all its shared places."""
+"""Own traffic is thin where copies lapse before it renews them: only then is a model sought in all its places."""
 
 import pytest
 from world import World, deployment
