A zone is told to be drained when most voters have it in their plan

Seen while reading hand-overs: the leader answered a drain at once, from its own memory. If it ended or lost its lead before its next plan was agreed, the command was gone though it had been told done; the next leader goes by the agreed plan alone. Change (daemon/failover.py): the answer waits until the plan that most voters have holds it, names the new leader where the lead went, or says after 8 s to ask again.

--- a/sprucespool/cli/zones.py
+++ b/sprucespool/cli/zones.py
@@ -17,6 +17,10 @@
 __all__ = ["Unreachable", "differences", "drain", "fetch", "run", "what_if_of"]
 
 
+# Longer (ms) than a leader waits for most voters to agree.
+DRAIN_WITHIN = 10_000.0
+
+
 async def fetch(where: str) -> ZonesShown:
     """Raises Unreachable."""
     return await fetched(where, names.MEMBERSHIP_ZONES, ZonesShown)
@@ -91,7 +95,7 @@
     request = platform.DrainZoneRequest(zone=zone, drain=away, force=force)
     asked = [where]
     while True:
-        reply = await ask(asked[-1], names.MEMBERSHIP_DRAIN_ZONE, request, platform.DrainZoneReply)
+        reply = await ask(asked[-1], names.MEMBERSHIP_DRAIN_ZONE, request, platform.DrainZoneReply, DRAIN_WITHIN)
         if reply.done:
             return ""
         if not reply.leader or reply.leader in asked or len(asked) > 4:
--- a/sprucespool/daemon/failover.py
+++ b/sprucespool/daemon/failover.py
@@ -49,6 +49,8 @@
 # did for it, and the parts of what it sent home that came back, and in SLO time.
 MORE_FIGURES = ("free_cores", "bound_cores", "home_cores", "home_well", "home_soon")
 LOOK_EVERY = 0.25
+# Whether a command is in a plan that most voters have is looked at so often (seconds), for so long (ms).
+CONFIRM_EVERY, CONFIRM_WITHIN = 0.05, 8_000.0
 # All members and invokers are gone through so often, ms: among hundreds that is what costs. Half as often where others
 # plan.
 STATES_EVERY = 500.0
@@ -395,20 +397,46 @@
             return
         now, failover = self.now(), self.failover
         if not failover.council.leads(now):
-            leader = failover.council.leader
-            where = next((row.address for row in self.others() if row.name == leader), "")
-            if not where and failover.council.votes is False:
-                # Only voters hear who leads: any of them can say.
-                where = next((row.address for row in self.others() if row.name in failover.council.voters), "")
-            reply = platform.DrainZoneReply(why=f"{leader or 'nobody known here'} leads", leader=where)
+            return self._name_leader(call)
+        why = failover.drain(asked.zone, asked.drain, asked.force)
+        self.log.info("drain zone", zone=asked.zone, drain=asked.drain, force=asked.force, refused=why)
+        if why:
+            _reply(call, platform.DrainZoneReply(why=why))
         else:
-            why = failover.drain(asked.zone, asked.drain, asked.force)
-            self.log.info("drain zone", zone=asked.zone, drain=asked.drain, force=asked.force, refused=why)
-            reply = platform.DrainZoneReply(done=not why, why=why)
-        call.send(reply.SerializeToString())
-        call.finish(Status.OK)
+            self._confirm_drain(call, asked, now + CONFIRM_WITHIN)
+
+    def _name_leader(self, call: ServerCall):
+        council = self.failover.council
+        leader = council.leader
+        where = next((row.address for row in self.others() if row.name == leader), "")
+        if not where and council.votes is False:
+            # Only voters hear who leads: any of them can say.
+            where = next((row.address for row in self.others() if row.name in council.voters), "")
+        _reply(call, platform.DrainZoneReply(why=f"{leader or 'nobody known here'} leads", leader=where))
+
+    def _confirm_drain(self, call: ServerCall, asked: platform.DrainZoneRequest, until: float):
+        """Say that it is done when most voters have a plan with it: a leader may end, or lose its lead, at any time."""
+        if call.over or self.stopped:
+            return
+        now, council = self.now(), self.failover.council
+        decided = council.in_force(now)
+        agreed = decided is not None and (asked.zone in decided.drained) is asked.drain
+        if agreed and council.plan is not None and (asked.zone in council.plan.drained) is asked.drain:
+            _reply(call, platform.DrainZoneReply(done=True))
+        elif not council.leads(now):
+            self._name_leader(call)
+        elif now >= until:
+            why = f"most voters have not agreed within {CONFIRM_WITHIN / 1000.0:.0f} s; ask again"
+            _reply(call, platform.DrainZoneReply(why=why))
+        else:
+            self.loop.call_later(CONFIRM_EVERY, self._confirm_drain, call, asked, until)
 
     def stop(self) -> None:
         self.stopped = True
         if self.timer is not None:
             self.timer.cancel()
+
+
+def _reply(call: ServerCall, reply: platform.DrainZoneReply):
+    call.send(reply.SerializeToString())
+    call.finish(Status.OK)
--- a/tests/test_failover_sockets.py
+++ b/tests/test_failover_sockets.py
@@ -4,6 +4,7 @@
 import asyncio
 import subprocess
 import sys
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -153,7 +154,8 @@
     found.close()
 
 
-def test_operators_see_the_plan_and_drain_a_zone_unless_the_rest_could_not_take_it(stage, tmp_path):
+def three_controllers(stage, tmp_path):
+    """Controllers of three zones, one invoker each, that follow one plan."""
     zones = ["a1", "a2", "b1"]
     fleet = {zone: stage.invoker() for zone in zones}
     controllers, seeds = [], ""
@@ -169,13 +171,9 @@
         )
         controllers.append(one)
         seeds = f'; seed "127.0.0.1:{controllers[0].port}"'
-    where = [f"127.0.0.1:{one.port}" for one in controllers]
-
-    def epochs():
-        return [one.failover.failover.epoch for one in controllers]
 
     def one_plan():
-        found = epochs()
+        found = [one.failover.failover.epoch for one in controllers]
         return (
             found[0] != (0, 0)
             and len(set(found)) == 1
@@ -184,6 +182,53 @@
 
     wait_until(lambda: stage.call(one_plan), 40.0)
     assert stage.call(one_plan)
+    return controllers
+
+
+def test_a_zone_is_told_to_be_drained_when_most_voters_have_it_in_their_plan(stage, tmp_path):
+    controllers = three_controllers(stage, tmp_path)
+
+    def leads(one):
+        return one.failover.failover.council.leads(one.failover.now())
+
+    wait_until(lambda: stage.call(lambda: any(map(leads, controllers))), 20.0)
+    [leader] = stage.call(lambda: [one for one in controllers if leads(one)])
+    others = [one for one in controllers if one is not leader]
+    hear = {one: one.group.on_plan for one in others}
+
+    def deafen():
+        for one in others:
+            one.group.on_plan = lambda data: None
+
+    def listen():
+        for one in others:
+            one.group.on_plan = hear[one]
+
+    stage.call(deafen)
+    why = asyncio.run(drain(f"127.0.0.1:{leader.port}", "a1", True, True))
+    # Its lead ends meanwhile, or the time it waits does: nobody else may ever hear of the drain.
+    assert why
+    stage.call(listen)
+
+    def drained(one):
+        return one.failover.failover.follow(one.failover.now()).drained
+
+    end = time.monotonic() + 40.0
+    while why and time.monotonic() < end:
+        why = asyncio.run(drain(f"127.0.0.1:{others[0].port}", "a1", True, True))
+    assert not why
+    # Done: it holds though the leader that took it ends now.
+    [leader] = stage.call(lambda: [one for one in controllers if leads(one)])
+    stage.call(leader.close)
+    rest = [one for one in controllers if one is not leader]
+    wait_until(lambda: stage.call(lambda: any(map(leads, rest))), 40.0)
+    wait_until(lambda: stage.call(lambda: {drained(one) for one in rest}) == {("a1",)}, 20.0)
+    assert stage.call(lambda: {drained(one) for one in rest}) == {("a1",)}
+
+
+def test_operators_see_the_plan_and_drain_a_zone_unless_the_rest_could_not_take_it(stage, tmp_path):
+    controllers = three_controllers(stage, tmp_path)
+    where = [f"127.0.0.1:{one.port}" for one in controllers]
 
     def command(*words):
         return subprocess.run(
