--- a/benchmarks/serving.py
+++ b/benchmarks/serving.py
@@ -25,7 +25,7 @@
 
 from sprucespool.gateway import Gateway, replay
 from sprucespool.grpc import ClientLink, Limits, ServerLink, Status
-from sprucespool.grpc.link import Answered, Message
+from sprucespool.grpc.events import Answered, Message
 from sprucespool.transport.listener import Listener, Server, unary
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.pool import Pool
--- a/sprucespool/cli/asking.py
+++ b/sprucespool/cli/asking.py
@@ -12,7 +12,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from sprucespool.grpc.link import Answered, Message
+from sprucespool.grpc.events import Answered, Message
 from sprucespool.grpc.status import Limits, Status
 from sprucespool.settings.controller import address
 from sprucespool.transport.plan import PoolLimits
--- a/sprucespool/daemon/door.py
+++ b/sprucespool/daemon/door.py
@@ -17,7 +17,7 @@
 from sprucespool.daemon.request import parsed
 from sprucespool.gateway import Decider, Gateway, Recorder
 from sprucespool.gateway import messages as ms
-from sprucespool.grpc.link import Answered, Drained, Message, Reset
+from sprucespool.grpc.events import Answered, Drained, Message, Reset
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.policy import Controller
 from sprucespool.settings.controller import ControllerPlan, ModelTable, address, deployment
--- a/sprucespool/daemon/learning.py
+++ b/sprucespool/daemon/learning.py
@@ -12,7 +12,7 @@
 from sprucespool.daemon.request import parsed
 from sprucespool.daemon.snapshots import SnapshotFile
 from sprucespool.gateway import messages as ms
-from sprucespool.grpc.link import Answered, Message
+from sprucespool.grpc.events import Answered, Message
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.learning import Ask, CodecError, Newcomer, NewcomerLimits, Tell, Teller, decode, encode
 from sprucespool.learning.codec import MOST_BYTES
--- a/sprucespool/daemon/roster.py
+++ b/sprucespool/daemon/roster.py
@@ -11,7 +11,7 @@
 
 from sprucespool import interface as it
 from sprucespool.gateway import messages as ms
-from sprucespool.grpc.link import Answered, Drained, Message
+from sprucespool.grpc.events import Answered, Drained, Message
 from sprucespool.grpc.status import Limits, Metadata
 from sprucespool.settings import Refused, read
 from sprucespool.settings.controller import Invokers, address
--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-from dataclasses import dataclass, field
 
 import h2.config
 import h2.connection
@@ -19,150 +17,18 @@
 import h2.settings
 from hyperframe.frame import GoAwayFrame, SettingsFrame
 
-from sprucespool.grpc.status import (
-    FROM_HTTP,
-    Limits,
-    LinkError,
-    Metadata,
-    Status,
-    read_message,
-    read_metadata,
-    read_timeout,
-    write_message,
-    write_timeout,
-)
+from sprucespool.grpc.events import Drained, Event, GoingAway, Message, Ponged, Reset
+from sprucespool.grpc.status import Limits, LinkError
+from sprucespool.grpc.streams import Flow, Ledger, RateBucket, Stream
 
 FRAME_HEAD, LARGEST_FRAME = 9, 16384
 # Half-received bytes that any connection may hold, however crowded the server.
 FAIR_PART = 65536
-DATA, HEADERS, RST_STREAM, SETTINGS, PING, GOAWAY = 0, 1, 3, 4, 6, 7
+DATA, RST_STREAM, SETTINGS, PING, GOAWAY = 0, 3, 4, 6, 7
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 Codes = h2.errors.ErrorCodes
 
 
-# Events
-
-
-@dataclass(slots=True)
-class Began:
-    """Server: a call; `timeout` in ms or None."""
-
-    stream: int
-    path: str
-    metadata: Metadata
-    timeout: float | None
-
-
-@dataclass(slots=True)
-class Message:
-    """`data` is one whole message; tell `consumed(stream, size)` when it left for good."""
-
-    stream: int
-    data: bytes
-    size: int
-
-
-@dataclass(slots=True)
-class HalfClosed:
-    """Server: the client will send no more."""
-
-    stream: int
-
-
-@dataclass(slots=True)
-class Answered:
-    """Client: the call's status; the only end that an answer of the server makes."""
-
-    stream: int
-    status: Status
-    message: str
-    trailers: Metadata
-    messages: int
-
-
-@dataclass(slots=True)
-class Reset:
-    """The peer gave the stream up. `never_ran`: it says that nothing of it was looked at."""
-
-    stream: int
-    code: int
-    never_ran: bool
-
-
-@dataclass(slots=True)
-class GoingAway:
-    """The peer takes no new streams here."""
-
-    code: int
-    why: str
-
-
-@dataclass(slots=True)
-class Ponged:
-    pass
-
-
-@dataclass(slots=True)
-class Drained:
-    """What waited to be written on the stream is below the low mark again."""
-
-    stream: int
-
-
-Event = Began | Message | HalfClosed | Answered | Reset | GoingAway | Ponged | Drained
-
-
-@dataclass(slots=True)
-class _Flow:
-    """Data of one stream that waits to be written, with its end."""
-
-    waiting: deque[memoryview] = field(default_factory=deque)
-    size: int = 0
-    trailers: list | None = None
-    end: bool = False
-    marked: bool = False
-    still: int = 0
-    size_swept: int = 0
-
-
-@dataclass(slots=True)
-class _Stream:
-    flow: _Flow = field(default_factory=_Flow)
-    part: bytearray = field(default_factory=bytearray)
-    status: str = ""
-    answered: bool = False
-    messages: int = 0
-    refused: bool = False
-    # Bytes received and not yet given back to the peer's window.
-    held: int = 0
-    # Bytes of whole messages handed out and not yet consumed.
-    owed: int = 0
-    headers: Metadata | None = None
-
-
-class Ledger:
-    """Bytes of half-received messages over many connections: each is bounded, thousands together are not."""
-
-    __slots__ = ("used", "most")
-
-    def __init__(self, most: int):
-        self.used, self.most = 0, most
-
-
-class _Bucket:
-    """How many of something the peer may do in a second."""
-
-    __slots__ = ("most", "level", "at")
-
-    def __init__(self, most: float):
-        self.most, self.level, self.at = most, 0.0, 0.0
-
-    def spill(self, now: float) -> bool:
-        self.level = max(0.0, self.level - (now - self.at) * self.most / 1000.0) + 1.0
-        self.at = now
-        return self.level > self.most
-
-
 class Link:
     """What both ends share."""
 
@@ -207,7 +73,7 @@
         )
         self._out: list[bytes] = [b"" if server else PREFACE, frame.serialize()]
         self.h2.increment_flow_control_window(limits.link_window - 65535)
-        self.streams: dict[int, _Stream] = {}
+        self.streams: dict[int, Stream] = {}
         self.sending: dict[int, None] = {}
         self.starved: dict[int, None] = {}
         self.unsent = 0
@@ -215,7 +81,7 @@
         self.highest = 0
         self._rest = b""
         self._preface = len(PREFACE) if server else 0
-        self._useless, self._resets = _Bucket(limits.useless_frames), _Bucket(limits.resets)
+        self._useless, self._resets = RateBucket(limits.useless_frames), RateBucket(limits.resets)
 
     # Bytes in
 
@@ -324,7 +190,7 @@
         self._starves(event.stream_id, stream)
         self._feed_starved()
 
-    def _starves(self, number: int, stream: _Stream):
+    def _starves(self, number: int, stream: Stream):
         """The rest of a message larger than the window must be let in before there is a message to consume; where
         whole ones wait to be consumed that is what holds the peer, rightly."""
         if stream.part and stream.held and not stream.owed:
@@ -339,7 +205,7 @@
             if stream is not None and stream.part and not stream.owed:
                 self._give_back(number, stream, min(stream.held, len(stream.part)))
 
-    def _give_back(self, number: int, stream: _Stream, size: int):
+    def _give_back(self, number: int, stream: Stream, size: int):
         size = min(size, stream.held)
         if size > 0 and not self.dead:
             stream.held -= size
@@ -356,7 +222,7 @@
         if self.starved:
             self._feed_starved()
 
-    def _bad_message(self, number: int, stream: _Stream, compressed: bool, why: str, events: list):
+    def _bad_message(self, number: int, stream: Stream, compressed: bool, why: str, events: list):
         raise NotImplementedError
 
     def _on_reset(self, event, events: list, now: float):
@@ -406,7 +272,7 @@
         self._queue(number, stream, message)
         return stream.flow.size
 
-    def _queue(self, number: int, stream: _Stream, data: bytes):
+    def _queue(self, number: int, stream: Stream, data: bytes):
         if data:
             stream.flow.waiting.append(memoryview(data))
             stream.flow.size += len(data)
@@ -479,7 +345,7 @@
                 lost.append(Reset(number, int(Codes.CANCEL), False))
         return lost
 
-    def _send_chunk(self, number: int, flow: _Flow, room: int):
+    def _send_chunk(self, number: int, flow: Flow, room: int):
         parts, size = [], 0
         while flow.waiting and size < room:
             first = flow.waiting[0]
@@ -529,176 +395,6 @@
                     pass  # closed by the peer a moment ago
 
 
-class ServerLink(Link):
-    def __init__(self, limits: Limits, ledger: Ledger | None = None):
-        super().__init__(limits, True, ledger)
-
-    def _on_request(self, event, events: list, now: float):
-        number = event.stream_id
-        if self.leaving or self.unsent > self.limits.unsent:
-            # Above the last stream told of in GOAWAY, or too much waits to be written: surely not looked at.
-            return self.h2.reset_stream(number, Codes.REFUSED_STREAM)
-        if len(self.streams) >= self.limits.streams:
-            return self.h2.reset_stream(number, Codes.REFUSED_STREAM)
-        self.highest = max(self.highest, number)
-        self.streams[number] = _Stream()
-        size = sum(len(name) + len(value) + 32 for name, value in event.headers)
-        found = read_metadata(event.headers)
-        if size > self.limits.header_list:
-            return self.refuse(
-                number, Status.RESOURCE_EXHAUSTED, f"headers of {size} bytes, {self.limits.header_list} are allowed"
-            )
-        if found.get(":method") != "POST":
-            return self._http(number, "405")
-        kind = found.get("content-type", "")
-        if not (kind == "application/grpc" or kind.startswith(("application/grpc+", "application/grpc;"))):
-            return self._http(number, "415")
-        if found.get("grpc-encoding", "identity") != "identity":
-            return self.refuse(number, Status.UNIMPLEMENTED, "expected grpc-encoding identity")
-        timeout = None
-        if "grpc-timeout" in found:
-            try:
-                timeout = read_timeout(found["grpc-timeout"])
-            except ValueError as problem:
-                return self.refuse(number, Status.INVALID_ARGUMENT, str(problem))
-        events.append(Began(number, found[":path"], found, timeout))
-
-    def _http(self, number: int, status: str):
-        stream = self.streams[number]
-        stream.answered = stream.refused = True
-        self._send_headers(number, [(b":status", status.encode())], end=True)
-        self._close(number)
-
-    def _bad_message(self, number, stream, compressed, why, events):
-        events.append(Reset(number, int(Codes.CANCEL), False))
-        self.refuse(number, Status.UNIMPLEMENTED if compressed else Status.RESOURCE_EXHAUSTED, why)
-
-    def _on_ended(self, event, events: list, now: float):
-        stream = self.streams.get(event.stream_id)
-        if stream is None or stream.refused:
-            return
-        if stream.part:
-            events.append(Reset(event.stream_id, int(Codes.CANCEL), False))
-            return self.refuse(event.stream_id, Status.INVALID_ARGUMENT, "a message that is cut off")
-        events.append(HalfClosed(event.stream_id))
-
-    def refuse(self, number: int, status: Status, message: str, trailers: Metadata | None = None):
-        """End a call; a client that still sends is told to stop."""
-        self.finish(number, status, message, trailers)
-        if number in self.streams:
-            self.streams[number].refused = True
-
-    def begin(self, number: int, metadata: Metadata | None = None):
-        """Send the head of an answer (it goes with the first message otherwise)."""
-        stream = self.streams.get(number)
-        if stream is not None and not stream.answered:
-            stream.answered = True
-            self._send_headers(
-                number, [(b":status", b"200"), (b"content-type", b"application/grpc"), *_pairs(metadata)]
-            )
-
-    def send(self, number: int, message: bytes) -> int:
-        self.begin(number)
-        return super().send(number, message)
-
-    def finish(self, number: int, status: Status, message: str = "", trailers: Metadata | None = None):
-        """The call's final status. A second one, or one for a stream that is gone, does nothing."""
-        stream = self.streams.get(number)
-        if stream is None or stream.flow.trailers is not None or self.dead:
-            return
-        last = [(b"grpc-status", str(int(status)).encode()), *_pairs(trailers)]
-        if message:
-            last.append((b"grpc-message", write_message(message).encode()))
-        if not stream.answered:
-            stream.answered = True
-            last = [(b":status", b"200"), (b"content-type", b"application/grpc"), *last]
-        stream.flow.trailers, stream.flow.end = last, True
-        if stream.flow.waiting:
-            self.sending[number] = None
-            return
-        self._send_headers(number, last, end=True)
-        self._close(number)
-
-
-class ClientLink(Link):
-    def __init__(self, limits: Limits, ledger: Ledger | None = None):
-        super().__init__(limits, False, ledger)
-
-    @property
-    def room(self) -> int:
-        """Streams that the peer would take now."""
-        if self.dead or self.leaving or self.peer_leaving or self.h2.highest_outbound_stream_id > 2**31 - 1000:
-            return 0
-        return min(self.limits.streams, self.h2.remote_settings.max_concurrent_streams) - len(self.streams)
-
-    def call(self, path: str, authority: str, metadata: Metadata | None = None, timeout: float | None = None) -> int:
-        """Begin a call; `timeout` in ms."""
-        number = self.h2.get_next_available_stream_id()
-        headers = [
-            (b":method", b"POST"),
-            (b":scheme", b"http"),
-            (b":path", path.encode()),
-            (b":authority", authority.encode()),
-            (b"te", b"trailers"),
-            (b"content-type", b"application/grpc"),
-        ]
-        if timeout is not None:
-            headers.append((b"grpc-timeout", write_timeout(timeout).encode()))
-        self._send_headers(number, headers + _pairs(metadata))
-        self.streams[number] = _Stream()
-        return number
-
-    def half_close(self, number: int):
-        stream = self.streams.get(number)
-        if stream is None or stream.flow.end:
-            return
-        stream.flow.end = True
-        if not stream.flow.waiting:
-            self.h2.end_stream(number)
-
-    def _bad_message(self, number, stream, compressed, why, events):
-        self.reset(number)
-        events.append(
-            Answered(
-                number, Status.INTERNAL if compressed else Status.RESOURCE_EXHAUSTED, why, {}, max(1, stream.messages)
-            )
-        )
-
-    def _on_response(self, event, events: list, now: float):
-        stream = self.streams.get(event.stream_id)
-        if stream is None:
-            return
-        stream.headers = read_metadata(event.headers)
-        stream.status = stream.headers.get(":status", "")
-
-    def _on_trailers(self, event, events: list, now: float):
-        stream = self.streams.get(event.stream_id)
-        if stream is not None:
-            stream.headers = {**(stream.headers or {}), **read_metadata(event.headers)}
-
-    def _on_ended(self, event, events: list, now: float):
-        number = event.stream_id
-        stream = self.streams.get(number)
-        if stream is None:
-            return
-        found = stream.headers or {}
-        told, message = found.get("grpc-status"), read_message(found.get("grpc-message", ""))
-        if told is not None:
-            known = told.isascii() and told.isdigit() and int(told) in Status._value2member_map_
-            status = Status(int(told)) if known else Status.UNKNOWN
-        else:
-            status = FROM_HTTP.get(stream.status, Status.UNKNOWN)
-            message = message or f"an end without grpc-status, HTTP status {stream.status or 'none'}"
-        if stream.part:
-            status, message = Status.INTERNAL, "a message that is cut off"
-        self._close(number)
-        events.append(Answered(number, status, message, found, stream.messages))
-
-
-def _pairs(metadata: Metadata | None) -> list[tuple[bytes, bytes]]:
-    return [(name.encode(), value.encode("latin-1", "replace")) for name, value in metadata.items()] if metadata else []
-
-
 HANDLERS = {
     h2.events.RequestReceived: lambda link, *rest: link._on_request(*rest),
     h2.events.ResponseReceived: lambda link, *rest: link._on_response(*rest),
--- a/sprucespool/grpc/status.py
+++ b/sprucespool/grpc/status.py
@@ -98,3 +98,8 @@
 
 def read_message(text: str) -> str:
     return unquote(text, errors="replace")
+
+
+def write_metadata(metadata: Metadata | None) -> list[tuple[bytes, bytes]]:
+    """As header fields."""
+    return [(name.encode(), value.encode("latin-1", "replace")) for name, value in metadata.items()] if metadata else []
--- a/sprucespool/standin/clients.py
+++ b/sprucespool/standin/clients.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from sprucespool.grpc.link import Answered, Message, Reset
+from sprucespool.grpc.events import Answered, Message, Reset
 from sprucespool.grpc.status import Limits, Status
 from sprucespool.judge import seen
 from sprucespool.settings.controller import Group, address
--- a/sprucespool/standin/invoker.py
+++ b/sprucespool/standin/invoker.py
@@ -30,7 +30,7 @@
     Worker,
     WorkerFacts,
 )
-from sprucespool.grpc.link import Answered, Message
+from sprucespool.grpc.events import Answered, Message
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.judge import seen
 from sprucespool.settings.controller import address
--- a/sprucespool/standin/watching.py
+++ b/sprucespool/standin/watching.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from sprucespool.grpc.link import Message
+from sprucespool.grpc.events import Message
 from sprucespool.grpc.status import Limits
 from sprucespool.judge import failover as failover_seen
 from sprucespool.judge import fleet as fleet_seen
--- a/sprucespool/transport/listener.py
+++ b/sprucespool/transport/listener.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from sprucespool.grpc.link import Began, Drained, Event, HalfClosed, Ledger, Message, Ponged, Reset, ServerLink
+from sprucespool.grpc.events import Began, Drained, Event, HalfClosed, Message, Ponged, Reset
+from sprucespool.grpc.streams import Ledger
+from sprucespool.grpc.server import ServerLink
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.transport.acceptor import Acceptor
 from sprucespool.transport.wire import Wire
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -6,7 +6,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from sprucespool.grpc.link import Answered, ClientLink, Drained, Event, GoingAway, Message, Ponged, Reset
+from sprucespool.grpc.events import Answered, Drained, Event, GoingAway, Message, Ponged, Reset
+from sprucespool.grpc.client import ClientLink
 from sprucespool.grpc.status import Limits, Metadata
 from sprucespool.transport.opener import Opener, no_wait
 from sprucespool.transport.plan import PoolLimits, Slot
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from sprucespool.grpc import ClientLink, Ledger, Limits, LinkError, ServerLink, Status
-from sprucespool.grpc import link as lk
+from sprucespool.grpc.events import Answered, Began, HalfClosed, Message, Reset
 from sprucespool.grpc.link import PREFACE
 from sprucespool.grpc.status import read_timeout, write_timeout
 
@@ -50,7 +50,7 @@
     _, heard = shuttle(client, server, step=step)
     began, message, closed = heard
     assert (began.path, began.timeout, began.metadata["x-one"]) == ("/a.B/C", 1500.0, "1")
-    assert message.data == b"question" * 5000 and isinstance(closed, lk.HalfClosed)
+    assert message.data == b"question" * 5000 and isinstance(closed, HalfClosed)
     server.send(number, b"answer")
     server.finish(number, Status.OK, "", {"spruce-found": "warm"})
     heard, _ = shuttle(client, server, step=step)
@@ -68,9 +68,9 @@
         for _ in range(200):
             _, heard = shuttle(client, server)
             got += heard
-            for message in kinds(heard, lk.Message):
+            for message in kinds(heard, Message):
                 server.consumed(number, message.size)
-        assert [len(message.data) for message in kinds(got, lk.Message)] == [4_000_000], turn
+        assert [len(message.data) for message in kinds(got, Message)] == [4_000_000], turn
         server.finish(number, Status.OK)
         shuttle(client, server)
 
@@ -86,7 +86,7 @@
     server.send(quick, b"x")
     server.finish(quick, Status.OK)
     heard, _ = shuttle(client, server)
-    assert [event.stream for event in kinds(heard, lk.Answered)] == [quick]
+    assert [event.stream for event in kinds(heard, Answered)] == [quick]
     client.consumed(slow, 60_000)
     shuttle(client, server)
     assert server.waiting_on(slow) < waiting
@@ -101,12 +101,12 @@
     server.go_away()
     second = client.call("/a.B/C", "h")
     heard, began = shuttle(client, server)
-    assert not kinds(began, lk.Began) and client.room == 0
-    assert [(event.stream, event.never_ran) for event in kinds(heard, lk.Reset)] == [(second, True)]
+    assert not kinds(began, Began) and client.room == 0
+    assert [(event.stream, event.never_ran) for event in kinds(heard, Reset)] == [(second, True)]
     server.send(first, b"still")
     server.finish(first, Status.OK)
     heard, _ = shuttle(client, server)
-    assert kinds(heard, lk.Message)[0].data == b"still" and kinds(heard, lk.Answered)[0].status is Status.OK
+    assert kinds(heard, Message)[0].data == b"still" and kinds(heard, Answered)[0].status is Status.OK
 
 
 def test_streams_past_the_limit_are_refused_as_never_run_and_the_others_live():
@@ -114,8 +114,8 @@
     # Before the server's SETTINGS are known a client may open more.
     numbers = [client.call("/a.B/C", "h") for _ in range(5)]
     heard, began = shuttle(client, server)
-    assert [event.stream for event in kinds(began, lk.Began)] == numbers[:3]
-    assert [(e.stream, e.never_ran) for e in kinds(heard, lk.Reset)] == [(n, True) for n in numbers[3:]]
+    assert [event.stream for event in kinds(began, Began)] == numbers[:3]
+    assert [(e.stream, e.never_ran) for e in kinds(heard, Reset)] == [(n, True) for n in numbers[3:]]
     assert client.room == 0
 
 
@@ -132,8 +132,8 @@
     client, server = pair()
     bad, good = client.call("/a.B/C", "h", headers), client.call("/a.B/C", "h")
     heard, began = shuttle(client, server)
-    assert [(event.stream, event.status) for event in kinds(heard, lk.Answered)] == [(bad, status)]
-    assert [event.stream for event in kinds(began, lk.Began)] == [good]
+    assert [(event.stream, event.status) for event in kinds(heard, Answered)] == [(bad, status)]
+    assert [event.stream for event in kinds(began, Began)] == [good]
 
 
 def plain(headers, body=b""):
--- a/tests/test_pool_crossings.py
+++ b/tests/test_pool_crossings.py
@@ -9,7 +9,9 @@
 from platform_scene import played, until
 
 from sprucespool.grpc import Status
-from sprucespool.grpc.link import Began, ClientLink, HalfClosed, Message, ServerLink
+from sprucespool.grpc.events import Began, HalfClosed, Message
+from sprucespool.grpc.client import ClientLink
+from sprucespool.grpc.server import ServerLink
 from sprucespool.grpc.status import Limits
 from sprucespool.transport.listener import Listener, Server, unary
 from sprucespool.transport.plan import PoolLimits
