--- a/sprucespool/lab/days.py
+++ b/sprucespool/lab/days.py
@@ -19,7 +19,7 @@
 from sprucespool.lab.world import DayWorld
 from sprucespool.policy import Controller
 from sprucespool.standin.script import Day
-from sprucespool.standin.stage import facts
+from sprucespool.standin.verdicts import facts
 
 # After the day's end clients still wait for what they asked.
 AFTER, LOOK = 6_000.0, 500.0
--- a/sprucespool/standin/stage.py
+++ b/sprucespool/standin/stage.py
@@ -18,11 +18,8 @@
 from sprucespool.emulator.library import LibraryFacts
 from sprucespool.grpc.status import Limits
 from sprucespool.faults import LinkState
-from sprucespool.judge import BrokenRule, RuleFacts, Table, judge, score, seen
-from sprucespool.judge import failover as failover_seen
-from sprucespool.judge import fleet as fleet_seen
+from sprucespool.judge import judge, score, seen
 from sprucespool.judge import group as group_seen
-from sprucespool.judge.rules import GroupRule
 from sprucespool.judge.score import GroupValue
 from sprucespool.settings import write
 from sprucespool.settings.controller import (
@@ -45,6 +42,8 @@
 from sprucespool.standin.links import Relays
 from sprucespool.standin.platform import DRAINING, GONE, LibraryService, Listed, Roster
 from sprucespool.standin.processes import Process, StageFailed
+from sprucespool.standin.result import Result
+from sprucespool.standin.verdicts import facts, failover_verdict, first_seconds, fleet_verdict
 from sprucespool.standin.schedule import Schedule, Slot, Step, schedule, worker_facts
 from sprucespool.standin.script import Day
 from sprucespool.standin.starving import Starving
@@ -56,82 +55,6 @@
 Progress = Callable[[str], None]
 
 
-@dataclass(slots=True)
-class Result:
-    """What came out of a day. `unclean`: processes that did not end as they ought to."""
-
-    day: str
-    seed: int
-    decider: str
-    table: Table
-    broken: list[BrokenRule]
-    unclean: list[str]
-    controllers: list[dict[str, Any]]
-    # For each controller started within the day: what its first ten seconds were like.
-    newcomers: list[dict[str, float]] = field(default_factory=list)
-    # Where the day has a group: what of its invariants was broken, and ms from the last fault to equal views.
-    invariants: list[group_seen.BrokenInvariant] = field(default_factory=list)
-    settled: float | None = None
-    # Where a view of the fleet is kept: its own invariants, how far it went, how soon it was told.
-    fleet: fleet_seen.FleetVerdict | None = None
-    # Where plans of zones are followed: their invariants, how soon all followed one, what crossed.
-    failover: failover_seen.FailoverVerdict | None = None
-
-    def as_dict(self) -> dict[str, Any]:
-        return {
-            "day": self.day,
-            "seed": self.seed,
-            "decider": self.decider,
-            **self.table.as_dict(),
-            "rules_broken": len(self.broken),
-            "broken": [f"rule {b.rule}: {b.what}" for b in self.broken[:50]],
-            "invariants_broken": [f"({b.which}) {b.what}" for b in self.invariants[:50]],
-            "settled_ms": self.settled,
-            "fleet": self._fleet_dict(),
-            "failover": self._failover_dict(),
-            "unclean": self.unclean,
-            "controllers": self.controllers,
-            "newcomers": self.newcomers,
-        }
-
-    def _failover_dict(self) -> dict[str, Any] | None:
-        found = self.failover
-        if found is None:
-            return None
-        return {
-            "settled_ms": found.settled,
-            "near_ms": found.near,
-            "plans": found.plans,
-            "views": found.views,
-            "crossed": found.crossed,
-            "calm_crossed": found.calm_crossed,
-            "invariants_broken": _some(found.broken),
-        }
-
-    def _fleet_dict(self) -> dict[str, Any] | None:
-        if self.fleet is None:
-            return None
-        told = sorted(self.fleet.told)
-        return {
-            "settled_ms": self.fleet.settled,
-            "views": self.fleet.views,
-            "late_forwards": len(self.fleet.late),
-            "facts": len(told),
-            "told_p50_ms": told[len(told) // 2] if told else None,
-            "told_last_ms": told[-1] if told else None,
-            "invariants_broken": _some(self.fleet.broken),
-        }
-
-
-def _some(broken: list[group_seen.BrokenInvariant]) -> list[str]:
-    """Some of each: one that breaks all the time hides no other."""
-    return [
-        f"({b.which}) {b.what}"
-        for which in sorted({b.which for b in broken})
-        for b in [one for one in broken if one.which == which][:10]
-    ]
-
-
 @dataclass(slots=True)
 class _Standing:
     slot: Slot
@@ -152,6 +75,8 @@
 
 
 class Stage:
+    """All processes of one day, from their start to their end."""
+
     def __init__(self, day: Day, options: Options, folder: Path):
         self.day, self.options, self.folder = day, options, folder
         if day.drawn:
@@ -630,7 +555,7 @@
         for path in sorted(self.folder.glob("*.jsonl")):
             with open(path, "rb") as lines:
                 found += seen.read(lines)
-        day = self.day
+        day, watch = self.day, self.watch
         table = score(found, {g.name: GroupValue(g.slo_time, g.value, g.late_value) for g in day.model_groups})
         stops = [
             msgspec.json.decode(process.rest.removeprefix("stopped "))
@@ -645,117 +570,12 @@
             judge(found, facts(day)),
             self.unclean,
             stops,
-            [self._newcomer(found, number, at) for number, at in self.joined],
+            [first_seconds(day, found, number, at) for number, at in self.joined],
             verdict.broken if verdict else [],
             verdict.settled if verdict else None,
-            self._fleet_verdict(found),
-            self._failover_verdict(found),
-        )
-
-    def _fleet_verdict(self, found: list[seen.Seen]) -> fleet_seen.FleetVerdict | None:
-        told = self.day.group
-        if self.watch is None or told is None:
-            return None
-        happened: list[fleet_seen.Happened] = [*self.watch.fleets]
-        happened += [one for one in self.watch.noted if not isinstance(one, group_seen.SeenView)]
-        for one in found:
-            if isinstance(one, seen.Told):
-                happened.append(fleet_seen.WasTold(one.t, f"c{one.controller}", one.invoker, one.boot, one.status))
-            elif isinstance(one, seen.Came):
-                happened.append(fleet_seen.Reached(one.t, f"c{one.controller}", one.invoker, one.boot))
-            elif isinstance(one, seen.Ordered) and one.copies:
-                happened.append(fleet_seen.Reached(one.t, f"c{one.controller}", one.invoker, one.boot, "order"))
-            elif isinstance(one, seen.Booted):
-                happened.append(fleet_seen.Born(one.t, one.invoker, one.boot))
-        # Without views only what reached whom is counted: the same figure for the same day with none.
-        liars = frozenset({f"c{told.liar}"} if told.liar >= 0 else ())
-        bounds = fleet_seen.FleetBounds(
-            told.fleet_alike_within, self.day.fleet.drain_grace, told.spread_within, told.replaced_within, liars=liars
-        )
-        verdict = fleet_seen.check(happened, bounds, self.watched_until)
-        return verdict if told.view else fleet_seen.FleetVerdict([], None, verdict.late, [], 0)
-
-    def _failover_verdict(self, found: list[seen.Seen]) -> failover_seen.FailoverVerdict | None:
-        day, told = self.day, self.day.failover
-        if self.watch is None or told is None:
-            return None
-        zones = {number: day.zones[number % len(day.zones)] for number in range(day.controllers)}
-        places = {(one.invoker, one.boot): one.zone for one in found if isinstance(one, seen.Booted)}
-        stays = {group.name for group in day.model_groups if group.stay}
-        sent = {one.id: one for one in found if isinstance(one, seen.Sent)}
-        reached, ids = [], set()
-        for one in found:
-            if isinstance(one, seen.Came) and one.controller in zones and (one.invoker, one.boot) in places:
-                reached.append(
-                    failover_seen.Reached(
-                        one.t,
-                        f"c{one.controller}",
-                        zones[one.controller],
-                        places[one.invoker, one.boot],
-                        one.work,
-                        one.id in sent and sent[one.id].group in stays,
-                        one.id in ids,
-                    )
-                )
-                ids.add(one.id)
-        first = min((trouble.at for trouble in day.troubles), default=day.lasts) if told.liar < 0 else 0.0
-        last = self.begin + max(
-            (
-                trouble.at
-                + trouble.lasts
-                + trouble.span * (trouble.kind in ("crash", "controller-restart", "all-restart", "preempt"))
-                for trouble in day.troubles
-            ),
-            default=0.0,
-        )
-        killed = {
-            name for trouble in day.troubles if trouble.kind == "controller-kill" for name in day.named(trouble.what)
-        }
-        bounds = failover_seen.FailoverBounds(
-            {zone: day.region_of(zone) or zone for zone in day.zones},
-            self.begin + 3_000.0,
-            self.begin + first,
-            last,
-            frozenset(f"c{number}" for number in zones) - killed,
-            told.cap_slack,
-            told.slack_cores,
-            told.over_for,
-            changes=told.changes,
-            follow_within=told.follow_within,
-            near_within=told.near_within,
-        )
-        return failover_seen.check(self.watch.plans, reached, bounds, self.watched_until)
-
-    def _newcomer(self, found: list[seen.Seen], number: int, at: float, span: float = 30_000.0) -> dict[str, float]:
-        """A started controller's first seconds: first tries sent to it and returned in SLO time, the fleet's loads."""
-        groups = {group.name: group for group in self.day.model_groups}
-        sent = {
-            one.id: one
-            for one in found
-            if isinstance(one, seen.Sent) and one.controller == number and one.nth == 0 and at <= one.t < at + span
-        }
-        quick = sum(
-            one.id in sent and one.code == 0 and one.t - sent[one.id].t <= groups[sent[one.id].group].slo_time
-            for one in found
-            if isinstance(one, seen.Answer)
+            fleet_verdict(day, watch, self.watched_until, found) if watch else None,
+            failover_verdict(day, watch, self.begin, self.watched_until, found) if watch else None,
         )
-        loads = sum(isinstance(one, seen.Count) and one.name == "loads" and at <= one.t < at + span for one in found)
-        return {"controller": number, "sent": len(sent), "in_slo_time": quick, "fleet_loads": loads}
-
-
-def facts(day: Day) -> RuleFacts:
-    return RuleFacts(
-        {g.name: GroupRule(g.effect, g.scope, g.dedup_window) for g in day.model_groups},
-        day.fleet.drain_grace,
-        day.forwards.duplicate,
-        day.fleet.cold_share,
-        day.fleet.warm_after,
-        day.fleet.fall_multiple,
-        day.fleet.fall_window,
-        day.orders.floor,
-        day.orders.share,
-        day.orders.window,
-    )
 
 
 def play(day: Day, options: Options) -> Result:
