--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -1,5 +1,7 @@
 """What the tests of the platform's door share: settings as the platform gives them, and frames as clients send them."""
 
+import json
+
 from sprucespool.adapter.door import deployment
 from sprucespool.adapter.wire import Settings
 from sprucespool.relay.configuration import flat
@@ -83,6 +85,13 @@
 }
 
 
+def settings_of_all_effects():
+    """The settings with a class, `once`, that must never run twice."""
+    told = json.loads(json.dumps(SETTINGS))
+    told["profiles"].append({**told["profiles"][0], "name": "once", "effect": "at_most_once"})
+    return told
+
+
 def configuration(**change):
     return {
         "name": "n0",
