--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,6 +9,7 @@
 import time
 
 import pytest
+from platform_scene import KEY, entry, played
 from platform_world import asked, configuration, frame
 
 from sprucespool.node.logs import Log
@@ -17,8 +18,6 @@
 
 pytestmark = pytest.mark.sockets
 
-KEY = "7f3a9c21e0b4d655"
-
 
 class StandIn:
     """An invoker: `behave(command, tag, body)` gives what it writes; None: nothing at all."""
@@ -103,29 +102,6 @@
         return await asyncio.wait_for(self.answer(), 4)
 
 
-def node_entry(number, *hosts, whole=True):
-    return {
-        "cursor": number,
-        "nodes": {
-            "seq": number,
-            "whole": whole,
-            "hosts": [
-                {
-                    "host": name,
-                    "dial": f"127.0.0.1:{port}",
-                    "site": "east",
-                    "class": "std",
-                    "block": 1,
-                    "health": health,
-                    "share": 1,
-                    "born_ms": 0,
-                }
-                for name, port, health in hosts
-            ],
-        },
-    }
-
-
 class World:
     def __init__(self, invokers, channel=None, **change):
         self.invokers, self.channel, self.change = invokers, channel or ChannelStandIn(), change
@@ -134,7 +110,7 @@
         for invoker in self.invokers:
             await invoker.start()
         await self.channel.start()
-        first = node_entry(1, *[(f"s-{n}", one.port, "up") for n, one in enumerate(self.invokers)])
+        first = entry(1, *[(f"s-{n}", one.port, "up") for n, one in enumerate(self.invokers)], whole=True)
         told = configuration(channel=f"127.0.0.1:{self.channel.port}", known={"cursor": 1, "cmds": [first]})
         told.update(self.change)
         self.node = Node("", read(json.dumps(told).encode()), Log("error"))
@@ -151,10 +127,6 @@
         await asyncio.sleep(0.02)
 
 
-def played(scene):
-    asyncio.run(asyncio.wait_for(scene(), 20))
-
-
 def test_a_body_comes_back_byte_for_byte_and_each_request_is_passed_on_unchanged():
     async def scene():
         async with World([StandIn()]) as world:
@@ -326,7 +298,7 @@
         old = StandIn()
 
         def line(number, *hosts):
-            told = json.dumps(node_entry(number, *hosts, whole=False)).encode()
+            told = json.dumps(entry(number, *hosts)).encode()
             return b"id: %d\ndata: %b\n\n" % (number, told)
 
         channel = ChannelStandIn()
@@ -389,7 +361,7 @@
         port = free.sockets[0].getsockname()[1]
         free.close()
         await free.wait_closed()
-        known = {"cursor": 1, "cmds": [node_entry(1, ("s-0", one.port, "up"))]}
+        known = {"cursor": 1, "cmds": [entry(1, ("s-0", one.port, "up"), whole=True)]}
         path, process = started(tmp_path, port, channel=f"127.0.0.1:{channels[0].port}", known=known)
         try:
             while not channels[0].asked:
