Under a plan of zones traffic is not thin by own calls

Cause: the spread over shared places loads more copies than own traffic keeps warm; zones look as if they took little, and the plan moves traffic.

--- a/sprucespool/policy/controller.py
+++ b/sprucespool/policy/controller.py
@@ -96,6 +96,8 @@
         self.kinds, self.rates, self.even, self.bare, self.averaged = {}, {}, 0.0, 1.0, 0.0
         # When the first request came.
         self.began: float | None = None
+        # Whether requests go by a plan of zones.
+        self.planned = False
         self.traffic, self.traffic_at, self.memory = 0.0, 0.0, max(deployment.keep_alive, 1.0)
         self.handlers = {
             Arrived: self._arrived,
@@ -195,6 +197,7 @@
         inf = event.inference
         if self.began is None:
             self.began = self.now
+        self.planned = inf.zones is not None
         mdl = self._known(inf.model)
         mdl.part *= math.exp((mdl.asked_at - self.now) / self.memory)
         mdl.asked, mdl.asked_at = mdl.asked + 1, self.now
@@ -407,7 +410,9 @@
         """Own entries lapse before own traffic renews them: a favourite is sought in all its places."""
         if self.live > len(self.pods):
             return True
-        if self.live == 1 or self.began is None:
+        # A plan of zones sends traffic by what zones take: more copies than own traffic keeps warm would look like
+        # zones that take little, and move it.
+        if self.live == 1 or self.began is None or self.planned:
             return False
         # Own calls are counted from nothing: what they will be in a whole keep-alive is in question.
         counted = max(LEAST_COUNTED, 1.0 - math.exp((self.began - self.now) / self.memory))
--- a/tests/test_thin_traffic.py
+++ b/tests/test_thin_traffic.py
@@ -6,11 +6,11 @@
 from sprucespool import interface as it
 
 
-def used(world, calls, gap, models=("m",)):
+def used(world, calls, gap, **facts):
     """The invokers that get the calls, one every `gap` ms, each answered after 30 ms."""
     invokers = []
-    for number in range(calls):
-        _, actions = world.arrive(models[number % len(models)])
+    for _ in range(calls):
+        _, actions = world.arrive("m", **facts)
         for forward in (action for action in actions if isinstance(action, it.Forward)):
             invokers.append(forward.invoker.name)
             world.wait(30.0)
@@ -55,3 +55,11 @@
     world.roster(*(f"w{number}" for number in range(40)))
     # Ten calls in a tenth of a second are less than a tenth of a keep-alive of busy traffic would bring.
     assert len(set(used(world, 10, 40.0))) > 1
+
+
+def test_traffic_that_goes_by_a_plan_of_zones_is_never_thin_by_own_calls():
+    world = World(deployment(controllers=12))
+    for zone in "ab":
+        world.roster(*(f"{zone}{number}" for number in range(20)), zone=zone)
+    invokers = used(world, 12, 2_000.0, zones=("a", "b"))
+    assert len(set(invokers)) == 1 and invokers[0].startswith("a")
