One cutter of frames in the tests, one row of a member's facts in the command

Found in the last reading: RawClient.answers and the troubled clients took frames apart in the same loop; sprucespool members listed the same eight cells twice.

--- a/sprucespool/cli/members.py
+++ b/sprucespool/cli/members.py
@@ -42,6 +42,20 @@
     return f"{told['taken_a_second']:g}/s, owes {told['owed']:g}, cpu {told['cpu']:.0%}" if told else ""
 
 
+def _facts(line: Line) -> tuple[str, ...]:
+    """The cells that members and those that are gone have in common."""
+    return (
+        line.region,
+        line.zone,
+        line.name,
+        line.address,
+        f"{line.number}/{line.of}",
+        line.phase,
+        line.state,
+        f"{line.age_ms / 1000:.1f} s",
+    )
+
+
 def _table(view: View) -> Table:
     table = Table(
         title=f"group {view.group} as {view.me} sees it: {view.live} there, digest {view.digest}, "
@@ -51,27 +65,13 @@
         table.add_column(name)
     for line in sorted(view.members, key=lambda line: (line.region, line.zone, line.name)):
         table.add_row(
-            line.region,
-            line.zone,
-            line.name,
-            line.address,
-            f"{line.number}/{line.of}",
-            line.phase,
-            line.state,
-            f"{line.age_ms / 1000:.1f} s",
+            *_facts(line),
             _load(view, line),
             ", ".join(line.suspected_by),
         )
     for line in view.gone:
         table.add_row(
-            line.region,
-            line.zone,
-            line.name,
-            line.address,
-            f"{line.number}/{line.of}",
-            line.phase,
-            line.state,
-            f"{line.age_ms / 1000:.1f} s",
+            *_facts(line),
             "",
             "",
         )
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -168,6 +168,15 @@
     return b"id: %d\ndata: %b\n\n" % (number, json.dumps(entry(number, *hosts, whole=whole, born=born)).encode())
 
 
+def cut_frames(data: bytes) -> tuple[list[tuple[int, int, int]], bytes]:
+    """(type, stream, code) of each whole frame, and the bytes behind the last one."""
+    frames = []
+    while len(data) >= 4 and len(data) >= 4 + (size := int.from_bytes(data[:4], "big")):
+        frames.append((data[4], int.from_bytes(data[5:9], "big"), data[9]))
+        data = data[4 + size :]
+    return frames, data
+
+
 class RawClient:
     """A client on a blocking socket: what it sends is with the system before the controller runs again."""
 
@@ -205,10 +214,8 @@
         try:
             async with asyncio.timeout(seconds):
                 while len(found) < count and (part := await loop.sock_recv(self.sock, 65_536)):
-                    data += part
-                    while len(data) >= 4 and len(data) >= 4 + (size := int.from_bytes(data[:4], "big")):
-                        found.append((data[4], int.from_bytes(data[5:9], "big"), data[9]))
-                        data = data[4 + size :]
+                    frames, data = cut_frames(data + part)
+                    found += frames
         except (TimeoutError, ConnectionError):
             pass
         return found
--- a/tests/troubled_scene.py
+++ b/tests/troubled_scene.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from platform_scene import ChannelStandIn, InvokerStandIn, RawClient, Scene, event, hit
+from platform_scene import ChannelStandIn, InvokerStandIn, RawClient, Scene, cut_frames, event, hit
 from platform_world import asked, configuration, frame, settings_of_all_effects
 
 EXEC, ANSWER = "exec", 17
@@ -91,11 +91,8 @@
         self.raw.sock.setblocking(False)
         try:
             while part := await loop.sock_recv(self.raw.sock, 65_536):
-                data += part
-                while len(data) >= 4 and len(data) >= 4 + (size := int.from_bytes(data[:4], "big")):
-                    if data[4] == ANSWER:
-                        self.answers.append((int.from_bytes(data[5:9], "big"), time.monotonic()))
-                    data = data[4 + size :]
+                frames, data = cut_frames(data + part)
+                self.answers += [(stream, time.monotonic()) for kind, stream, _ in frames if kind == ANSWER]
         except OSError:
             pass
         self.ended = True
