No attempt for clients that left while unaccepted; leavers lend their part again

A leaver's words now reach others before the GOAWAY on their own connections to it; their request for its part then crossed that GOAWAY, or found the one place of the pool taken by the leaving connection (transport/plan.py, place), and was lost. The test's three tries had hidden how often that was so before; they are gone, one try must do. Now: a connection that its peer ends takes no place (Slot.leaving); a word of the group that never ran is said once more; a leaver stays until its part is lent, a second at the most (0.25 s always before). 2. test_every_schedule_of_failures[3]: asyncio's own accept of the stand-in invoker got the injected EMFILE and slept for a second: the listener of the stand-in was made while the controller's was waited for. The test judged by when the stand-in read. Looking for the cause of 2 showed a fault of the program beside it: a client that connects, sends and leaves while accept fails, or during a stall beside requests of others, had its request sent to an invoker up to the stall later, in 5 of 5 rounds: accepting, reading and hearing of the end take more rounds of polling than the two that decisions wait. Now a request that may have waited unread holds decisions for two more (LoopPace.unread_on).

Tests: new ones fail without their part.

--- a/sprucespool/daemon/door.py
+++ b/sprucespool/daemon/door.py
@@ -281,7 +281,7 @@
         lanes = number(names.LANES, facts.lanes if facts else None)
         memory = number(names.MEMORY, facts.memory / 1e6 if facts and facts.memory else None)
         self.numbers += 1
-        waited = max(self.turn.pace.unread(), call.waited)
+        waited = self.turn.pace.unread_on(call.waited)
         return ms.Call(
             f"{self.plan.controller.number}-{self.numbers}",
             name,
--- a/sprucespool/daemon/group.py
+++ b/sprucespool/daemon/group.py
@@ -14,13 +14,14 @@
 from google.protobuf.message import DecodeError
 
 from sprucespool.gateway import messages as ms
+from sprucespool.grpc.events import Reset
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.membership import About, Codec, Event, Group, GroupLimits, MessageError, Phase, Row, Say, State
 from sprucespool.membership.codec import MOST_BYTES
 from sprucespool.settings.controller import ControllerPlan, GroupPlan, loopback
 from sprucespool.transport.listener import Method, ServerCall, unary
 from sprucespool.transport.plan import PoolLimits
-from sprucespool.transport.pool import Pool
+from sprucespool.transport.pool import Heard, Pool
 from sprucespool.wire import names
 from sprucespool.wire import platform_pb2 as platform
 
@@ -29,8 +30,9 @@
 FIGURES = ("taken_a_second", "shed_a_second", "owed", "may_owe", "lag_ms", "cpu")
 # What rides on a message at the most.
 MOST_NOTE = 262_144
-# Time for others to ask a leaver for its part, before its last words.
-LEAVE_AFTER = 0.25
+# Seconds for others to ask a leaver for its part before its last words, at the most; how often it looks whether they
+# have; for what it answered to leave.
+LONGEST_LEAVE, LEAVE_LOOK, LAST_WORDS = 1.0, 0.02, 0.05
 STATES = {state: state.name.lower() for state in State}
 LOUD = {"suspected", "died", "isolated", "stalled", "renumbered", "twin", "distrusted", "refused"}
 
@@ -197,7 +199,7 @@
         """A word of the council, or a plan told on, by itself."""
         self._post(to, platform.MemberMessage(failover=said))
 
-    def _post(self, to: str, what: platform.MemberMessage):
+    def _post(self, to: str, what: platform.MemberMessage, again: bool = True):
         if self.stopped:
             return
         message = what.SerializeToString()
@@ -205,9 +207,15 @@
             pool = self._pool(to)
         except ValueError:
             return  # a member that calls itself what is no address
+
+        def heard(event: Heard):
+            # It crossed the announcement of its connection's end. A member that leaves is still to be reached.
+            if again and isinstance(event, Reset) and event.never_ran:
+                self.loop.call_soon(self._post, to, what, False)
+
         # Nobody waits for what a member says; the protocol counts what does not come back. Given up after a while: a
         # link that accepts and delivers nothing would else hold all of them.
-        call = pool.call(names.MEMBERSHIP_SAY, self.about, 1000.0, message, lambda event: None)
+        call = pool.call(names.MEMBERSHIP_SAY, self.about, 1000.0, message, heard)
         self.loop.call_later(2.0, call.cancel)
 
     def _pool(self, where: str) -> Pool:
@@ -344,9 +352,11 @@
         if self.group is None:
             return
         self.tell_about(phase=Phase.LEAVING)
-        await asyncio.sleep(LEAVE_AFTER)
+        end = self.loop.time() + LONGEST_LEAVE
+        while not self.group.part_is_lent and self.loop.time() < end:
+            await asyncio.sleep(LEAVE_LOOK)
         self._do(self.group.leave(self.now()))
-        await asyncio.sleep(LEAVE_AFTER / 5)
+        await asyncio.sleep(LAST_WORDS)
 
     def stop(self) -> None:
         self.stopped = True
--- a/sprucespool/membership/group.py
+++ b/sprucespool/membership/group.py
@@ -275,6 +275,11 @@
         self._spread(self.me.seat)
         return True
 
+    @property
+    def part_is_lent(self) -> bool:
+        """Of one that leaves: whether nobody else could borrow of its part."""
+        return self.shares.all_lent or not self.book.present
+
     def leave(self, now: float) -> list[Say]:
         """The last words: nothing is said after them."""
         self._clock(now)
--- a/sprucespool/membership/shares.py
+++ b/sprucespool/membership/shares.py
@@ -101,6 +101,11 @@
         self.granted += part
         return part
 
+    @property
+    def all_lent(self) -> bool:
+        """Whether nothing of the slot is left to lend."""
+        return not self.ready or self.loan <= 0 or self.granted > 1.0 - 1e-9
+
     def lent(self, now: float, asks: int, number: int, start: int, part: float) -> None:
         asked = self.asked.pop(asks, None)
         if asked is None or asked[1:] != (number, start) or not 0 < part <= 1 or self.closed:
--- a/sprucespool/node/door.py
+++ b/sprucespool/node/door.py
@@ -151,8 +151,8 @@
             peer.link.shed(request.stream, 0.0)
             peer.answered(request.stream)
             return True
-        waited = max(self.turn.lag, self.turn.pace.unread(), peer.waited)
-        ttl = request.ttl - waited
+        unread = self.turn.pace.unread_on(peer.waited)
+        ttl = request.ttl - max(self.turn.lag, unread)
         if self.until is not None:
             ttl = min(ttl, self.until - now)
         self.numbers += 1
--- a/sprucespool/transport/pace.py
+++ b/sprucespool/transport/pace.py
@@ -52,6 +52,17 @@
             late = self._stalled_for
         return late * 1000.0 if late > STALL else 0.0
 
+    def unread_on(self, waited: float) -> float:
+        """As `unread`, of a request on a connection that waited so long to be accepted.
+
+        Where it may have waited its client may have left meanwhile: nothing is settled before the end of its
+        connection, which is read behind it, would have been.
+        """
+        waited = max(waited, self.unread())
+        if waited > 0.0:
+            self._rounds = ROUNDS_AFTER_STALL
+        return waited
+
     def settled(self, since: float) -> bool:
         """Whether something planned at `since` (loop time, seconds) may be done now: False where the loop stalled,
         until it has polled its sockets again."""
--- a/sprucespool/transport/plan.py
+++ b/sprucespool/transport/plan.py
@@ -48,7 +48,7 @@
 @dataclass(slots=True, eq=False)
 class Slot:
     """One connection as the plan sees it. `room` is how many more calls its peer takes; `held`: the system takes
-    nothing more to be written on it for now."""
+    nothing more to be written on it for now; `leaving`: its peer ends it once the calls on it are over."""
 
     ready: bool = False
     room: int = 0
@@ -57,6 +57,7 @@
     heard: float = 0.0
     pinged: float | None = None
     held: bool = False
+    leaving: bool = False
 
 
 class PoolPlan:
@@ -75,17 +76,18 @@
         open_to = [slot for slot in self.slots if slot.ready and slot.room > 0 and not slot.held]
         if open_to:
             return min(open_to, key=lambda slot: slot.open_calls), False, ""
-        opening = sum(not slot.ready for slot in self.slots)
+        lasting = [slot for slot in self.slots if not slot.leaving]
+        opening = sum(not slot.ready for slot in lasting)
         if not opening and self.backoff.closed(now):
             return None, False, "not tried again yet after a failed connection"
         if waiting >= self.limits.waiting:
             return None, False, "too many calls wait for a connection"
         # One that is held takes calls again when its peer reads: they wait for it.
-        full = sum(slot.ready and not (slot.held and slot.room > 0) for slot in self.slots)
+        full = sum(slot.ready and not (slot.held and slot.room > 0) for slot in lasting)
         if full >= self.limits.connections and not opening:
             return None, False, "all connections are full"
         # One at a time: a burst must not open a connection for each of its calls.
-        return None, not opening and len(self.slots) < self.limits.connections, ""
+        return None, not opening and len(lasting) < self.limits.connections, ""
 
     def look(self, now: float) -> tuple[list[Slot], list[Slot], list[Slot]]:
         """(to close as idle, to ping, to give up since a ping was not answered)."""
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -132,7 +132,7 @@
     def _events(self, wire: Wire, events: list[Event]):
         for event in events:
             if isinstance(event, GoingAway):
-                self.slot.room = 0
+                self.slot.room, self.slot.leaving = 0, True
             elif isinstance(event, Ponged):
                 self.slot.pinged = None
             elif (call := self.calls.get(event.stream)) is not None:
--- a/tests/faulty_sockets.py
+++ b/tests/faulty_sockets.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import errno
+import re
 import socket
+import time
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -48,17 +50,51 @@
 HARMLESS = [SHORT, errno.EAGAIN, errno.EINTR]
 
 
+@dataclass
+class Written:
+    """What the system took on one connection, and when."""
+
+    data: bytearray = field(default_factory=bytearray)
+    # (bytes taken so far, monotonic time) after each call.
+    marks: list[tuple[int, float]] = field(default_factory=list)
+
+    def note(self, data: bytes) -> None:
+        self.data += data
+        self.marks.append((len(self.data), time.monotonic()))
+
+    def taken_at(self, end: int) -> float:
+        return next(at for size, at in self.marks if size >= end)
+
+
 @dataclass
 class Faults:
     """`planned` maps (side, call, n-th of that) to an errno, or SHORT; sides are "client" and "invoker"."""
 
     planned: dict[tuple[str, str, int], int] = field(default_factory=dict)
     invoker_ports: set[int] = field(default_factory=set)
+    # While set, a socket that is bound is the controller's listener.
     listening: bool = False
     # While set, nothing is written to invokers beyond so many bytes of each call.
     hold_sends: int | None = None
     counts: Counter = field(default_factory=Counter)
     injected: list[tuple[str, str, int]] = field(default_factory=list)
+    written: list[Written] = field(default_factory=list)
+
+    async def begin(self, node) -> int:
+        """Start the controller; its listener, and no other of this process, is the one that fails."""
+        self.listening = True
+        try:
+            return await node.start()
+        finally:
+            self.listening = False
+
+    def attempts(self) -> list[tuple[str, float]]:
+        """(tag, when the system had the line) of each attempt written to an invoker."""
+        return [
+            (match[1].decode(), one.taken_at(match.end()))
+            for one in self.written
+            for match in re.finditer(rb"(?m)^exec ([0-9a-f]{16}) [^\r]*\r\n", one.data)
+        ]
 
     def next_fault(self, side: str, call: str) -> int | None:
         self.counts[side, call] += 1
@@ -76,6 +112,7 @@
     def __init__(self, *args, side: str = "", **kwargs):
         super().__init__(*args, **kwargs)
         self.side = side
+        self.written = Written()
 
     def _fault(self, call: str) -> int | None:
         found = self.faults.next_fault(self.side, call) if self.side else None
@@ -96,6 +133,7 @@
     def connect(self, address):
         if address[1] in self.faults.invoker_ports:
             self.side = "invoker"
+            self.faults.written.append(self.written)
         self._fault("connect")
         return super().connect(address)
 
@@ -105,7 +143,9 @@
             if self.faults.hold_sends == 0:
                 raise BlockingIOError(errno.EAGAIN, "held")
             data, self.faults.hold_sends = memoryview(data)[: self.faults.hold_sends], 0
-        return super().send(memoryview(data)[:1] if short else data, *flags)
+        taken = super().send(memoryview(data)[:1] if short else data, *flags)
+        self.written.note(bytes(data[:taken]))
+        return taken
 
     def recv_into(self, buffer, nbytes=0, flags=0):
         short = self._fault("recv") is not None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -53,6 +53,29 @@
     played(scene)
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_client_that_came_and_left_during_a_stall_has_no_attempt_begun_beside_the_requests_of_others(reset):
+    """It takes more rounds to accept the newcomer and to hear of its end than others take to be decided on."""
+
+    async def scene():
+        async with Scene(InvokerStandIn()) as world:
+            others = [await world.warmed(), await world.client(), await world.client()]
+            for round_ in range(5):
+                newcomer = RawClient(world.port)
+                newcomer.send(asked(1, id=f"{round_:x}" + "e" * 15))
+                newcomer.close(reset)
+                for number, other in enumerate(others):
+                    other.send(asked(round_ + 2, id=f"{round_:x}" + f"{number}" * 15))
+                time.sleep(STALL)
+                for other in others:
+                    assert await other.answers(1) == [(17, round_ + 2, 0)]
+                await asyncio.sleep(0.05)
+            assert not [run for run in world.invokers[0].runs() if run.endswith("e" * 15)]
+            assert len(world.invokers[0].runs()) == 1 + 5 * len(others)
+
+    played(scene)
+
+
 def test_a_cancel_read_behind_its_request_after_a_stall_has_no_attempt_begun():
     async def scene():
         async with Scene(InvokerStandIn()) as world:
--- a/tests/test_group_sockets.py
+++ b/tests/test_group_sockets.py
@@ -390,14 +390,8 @@
             return [rig.watch.newest[name].part for name in names if name in rig.watch.newest]
 
         assert await rig.until(lambda: parts() == whole, LONG) is not None
-        # A leaver waits a moment for who asks and no longer: seen once beside other work, one heir was too late.
-        for _ in range(3):
-            await rig.leave(names[2])
-            lent = await rig.until(lambda: parts() == [0.5, 0.5], 5.0)
-            if lent is not None:
-                break
-            await rig.start(names[2])
-            assert await rig.until(lambda: parts() == whole, LONG) is not None
+        await rig.leave(names[2])
+        lent = await rig.until(lambda: parts() == [0.5, 0.5], 5.0)
         assert lent is not None, "two heirs, half of the slot each"
         assert await rig.until(lambda: parts() == whole[:2], LONG) is not None, "a loan ends by itself"
         await rig.start(names[2])
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -29,6 +29,14 @@
     assert plan(full, Slot(True, 0, 1), connections=2).place(0.0, 0)[2] == "all connections are full"
 
 
+def test_a_connection_that_its_peer_ends_takes_no_place_of_another():
+    leaving = Slot(True, 0, 1, leaving=True)
+    assert plan(leaving, connections=1).place(0.0, 0) == (None, True, "")
+    assert plan(leaving, Slot(), connections=1).place(0.0, 1) == (None, False, "")
+    lasting = Slot(True, 3, 0)
+    assert plan(leaving, lasting, connections=1).place(0.0, 0) == (lasting, False, "")
+
+
 def test_after_a_failure_nothing_is_tried_until_the_pause_is_over_but_live_ones_serve():
     found = plan()
     found.backoff.failed(100.0)
--- a/tests/test_pool_crossings.py
+++ b/tests/test_pool_crossings.py
@@ -1,4 +1,8 @@
-"""Calls of a pool against a peer that stops reading: what was not taken by the system can still be taken back."""
+"""Calls of a pool against a peer that stops reading or goes away.
+
+What was not taken by the system can still be taken back; what crossed the announcement of an end is known not to have
+run.
+"""
 
 import asyncio
 import contextlib
@@ -9,13 +13,17 @@
 from platform_scene import played, until
 
 from sprucespool.grpc import Status
-from sprucespool.grpc.events import Began, HalfClosed, Message
+from sprucespool.daemon.group import GroupCarrier
+from sprucespool.grpc.events import Began, HalfClosed, Message, Reset
 from sprucespool.grpc.client import ClientLink
 from sprucespool.grpc.server import ServerLink
 from sprucespool.grpc.status import Limits
+from sprucespool.settings.controller import ControllerPlan, GroupPlan, Place, RosterSource
 from sprucespool.transport.listener import Listener, Server, unary
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.pool import Broken, Pool, Unconnected
+from sprucespool.wire import names
+from sprucespool.wire import platform_pb2 as platform
 
 pytestmark = pytest.mark.sockets
 
@@ -197,3 +205,61 @@
         listener.close()
 
     played(scene)
+
+
+# A peer that goes away
+
+
+def test_a_call_that_crosses_the_end_of_its_connection_is_told_not_to_have_run():
+    async def scene():
+        async with pool_and_peer(connections=1) as (pool, peer):
+            heard = []
+            peer.link.go_away()
+            pool.call("/a/Crossing", {}, 2_000.0, b"small", heard.append)
+            await peer.read(0.1)
+            await until(lambda: heard)
+            assert [(type(event), event.never_ran) for event in heard] == [(Reset, True)]
+            assert peer.begun == ["/a/Warm"]
+
+    played(scene)
+
+
+def test_calls_go_on_over_another_connection_while_the_old_one_still_answers():
+    async def scene():
+        async with pool_and_peer(connections=1) as (pool, peer):
+            old = list(pool.conns)
+            peer.link.go_away()
+            await peer.read(0.1)
+            await until(lambda: old[0].leaving)
+            pool.call("/a/Next", {}, 2_000.0, b"small", lambda event: None)
+            first, peer.link = peer.connection, ServerLink(WIDE)
+            await peer.accept()
+            assert peer.begun == ["/a/Warm", "/a/Next"] and old[0] in pool.conns and old[0].open_calls == 1
+            first.close()
+
+    played(scene)
+
+
+def test_a_word_of_the_group_that_crosses_the_end_of_its_connection_is_said_again_once():
+    async def scene():
+        heard = []
+
+        def say(call, data):
+            heard.append(platform.MemberMessage.FromString(data).fleet)
+            call.finish(Status.OK)
+
+        listener = Listener({names.MEMBERSHIP_SAY: unary(say)}, WIDE, Server())
+        address = f"127.0.0.1:{await listener.start('127.0.0.1', 0)}"
+        plan = ControllerPlan("127.0.0.1:0", RosterSource(file="unused"), [], Place(0, 1))
+        carrier = GroupCarrier(plan, GroupPlan("of a test", "a mark"), lambda given: None, None, {})
+        carrier._post(address, platform.MemberMessage(fleet=b"first"))
+        await until(lambda: heard)
+        listener.go_away(frozenset({names.MEMBERSHIP_SAY}))
+        carrier._post(address, platform.MemberMessage(fleet=b"crossing"))
+        await until(lambda: len(heard) == 2)
+        await asyncio.sleep(0.1)
+        assert heard == [b"first", b"crossing"]
+        carrier.stop()
+        listener.close()
+
+    played(scene)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -28,9 +28,8 @@
 @pytest.mark.parametrize("error", ERRORS["accept"])
 def test_accept_that_fails_delays_a_connection_and_never_spins_the_loop(error):
     async def scene():
-        with faulty_sockets(Faults(listening=True)) as faults:
-            async with Scene(InvokerStandIn()) as world:
-                faults.listening = False
+        with faulty_sockets(Faults()) as faults:
+            async with Scene(InvokerStandIn(), begin=faults.begin) as world:
                 first = faults.counts["client", "accept"]
                 faults.planned = {("client", "accept", first + n): error for n in range(1, 6)}
                 began, client = time.monotonic(), RawClient(world.port)
@@ -45,9 +44,8 @@
 
 def test_time_in_the_accept_queue_while_descriptors_run_out_counts_against_the_deadline():
     async def scene():
-        with faulty_sockets(Faults(listening=True)) as faults:
-            async with Scene(InvokerStandIn()) as world:
-                faults.listening = False
+        with faulty_sockets(Faults()) as faults:
+            async with Scene(InvokerStandIn(), begin=faults.begin) as world:
                 first = faults.counts["client", "accept"]
                 faults.planned = {("client", "accept", first + n): errno.EMFILE for n in range(1, 9)}
                 began, client = time.monotonic(), RawClient(world.port)
@@ -59,6 +57,26 @@
     played(scene)
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_client_that_left_while_it_waited_to_be_accepted_gets_no_attempt(reset):
+    async def scene():
+        with faulty_sockets(Faults()) as faults:
+            async with Scene(InvokerStandIn(), begin=faults.begin) as world:
+                (await world.warmed()).close()
+                first = faults.counts["client", "accept"]
+                faults.planned = {("client", "accept", first + n): errno.EMFILE for n in range(1, 7)}
+                client = RawClient(world.port)
+                client.send(asked(2, id="e" * 16))
+                client.close(reset)
+                accepted = world.node.door.front.accepted
+                await until(lambda: world.node.door.front.accepted > accepted)
+                await asyncio.sleep(0.1)
+                assert world.invokers[0].runs() == ["f" * 16]
+                assert len(faults.injected) == 6
+
+    played(scene)
+
+
 @pytest.mark.parametrize("error", [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EMFILE, errno.ENFILE])
 def test_a_connect_that_fails_for_a_moment_costs_no_attempt(error):
     async def scene():
@@ -133,10 +151,10 @@
         return hit(tag)
 
     async def scene():
-        with faulty_sockets(Faults(schedule_of(seed), listening=True)) as faults:
+        with faulty_sockets(Faults(schedule_of(seed))) as faults:
             invokers = [InvokerStandIn(behave) for _ in range(3)]
-            async with Scene(*invokers, settings=settings_of_all_effects()) as world:
-                faults.listening, faults.invoker_ports = False, {one.port for one in invokers}
+            async with Scene(*invokers, begin=faults.begin, settings=settings_of_all_effects()) as world:
+                faults.invoker_ports = {one.port for one in invokers}
                 groups = {f"{n:016x}": chance.choice(["call", "publish", "once"]) for n in range(REQUESTS)}
                 clients = [RawClient(world.port) for _ in range(4)]
                 streams: dict[RawClient, list[int]] = {client: [] for client in clients}
@@ -160,8 +178,10 @@
             runs = Counter(tag for one in invokers for tag in one.runs())
             assert all(runs[name] <= 1 + missed[name] for name, group in groups.items() if group == "once")
             of_gone = {f"{stream - 1:016x}" for stream in streams[gone]}
-            late = [words for one in invokers for words, came in one.lines if came > sent + 0.15]
-            assert not [words for words in late if words[0] == "exec" and words[1] in of_gone]
+            # By what the controller's socket took: a stand-in of this process may read it later.
+            begun = faults.attempts()
+            assert {tag for tag, _ in begun} >= {tag for one in invokers for tag in one.runs()}
+            assert not [tag for tag, at in begun if tag in of_gone and at > sent + 0.1]
             assert all(1 <= limit <= 1200 for one in invokers for limit in one.limits())
 
     played(scene)
