What waits for a connection is placed only when it is known whether it is still wanted

Seen by a forced test: a request waits since all streams to the invoker are taken; during a stall the answer that makes room comes and the waiting client leaves. The answer is read first and the request was written, a stall after its client had gone (node/invokers.py, _Conn._events; the same in transport/pool.py and Opener.drop).

--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -112,8 +112,8 @@
         self.note()
         if self.link.spoilt:
             wire.end(str(self.link.spoilt), at_once=True)
-        elif self.slot.room > 0 and self.invoker.waiting:
-            self.invoker.place_waiting()
+        elif self.slot.room > 0:
+            self.invoker.place_soon()
 
     def _lost(self, wire: Wire, why: str):
         self.invoker.drop(self)
@@ -239,8 +239,7 @@
     def close(self) -> None:
         self.closed = True
         self.stop_sending()
-        for task in self.opening:
-            task.cancel()
+        self.cancel_tasks()
         for conn in list(self.conns.values()):
             conn.wire.flush()
             conn.wire.end("closed")
--- a/sprucespool/transport/opener.py
+++ b/sprucespool/transport/opener.py
@@ -35,8 +35,9 @@
     def __init__(
         self, host: str, port: int, limits: PoolLimits, seed: int, settle: Callable[[], Awaitable[None]] = no_wait
     ):
-        # Awaited before anything is written on a new connection: what came during a stall is read first.
+        # Awaited before what waited is written: what came during a stall is read first, as the end of a client.
         self.settle = settle
+        self._placing: asyncio.Task | None = None
         self.host, self.port = host, port
         self.plan = PoolPlan(limits, seed)
         self.loop = asyncio.get_running_loop()
@@ -51,6 +52,17 @@
     def place_waiting(self) -> None:
         raise NotImplementedError
 
+    def place_soon(self) -> None:
+        """Place what waits once it is known whether it is still wanted."""
+        if self.waiting and not self.closed and self._placing is None:
+            self._placing = self.loop.create_task(self._settle_and_place())
+
+    async def _settle_and_place(self):
+        await self.settle()
+        self._placing = None
+        if not self.closed:
+            self.place_waiting()
+
     def unconnected(self, call: Call, why: str) -> None:
         """No connection was had for the call: end it."""
         raise NotImplementedError
@@ -108,9 +120,15 @@
                     raise
             await asyncio.sleep(PASSING_PAUSE)
 
+    def cancel_tasks(self) -> None:
+        """Of one that is closed."""
+        for task in self.opening:
+            task.cancel()
+        if self._placing is not None:
+            self._placing.cancel()
+
     def drop(self, conn: Conn) -> None:
         self.conns.pop(conn.slot, None)
         if conn.slot in self.plan.slots:
             self.plan.slots.remove(conn.slot)
-        if self.waiting and not self.closed:
-            self.loop.call_soon(self.place_waiting)
+        self.place_soon()
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -118,7 +118,7 @@
     def _paused(self, wire: Wire):
         self.slot.held = wire.paused
         if not wire.paused and self.slot.ready:
-            self.pool.place_waiting()
+            self.pool.place_soon()
 
     def note(self):
         self.slot.room, self.slot.open_calls, self.slot.heard = self.link.room, len(self.calls), self.wire.heard
@@ -143,7 +143,7 @@
         if self.link.peer_leaving and not self.calls:
             wire.end("the invoker goes away")
         elif self.slot.ready and self.slot.room > 0:
-            self.pool.place_waiting()
+            self.pool.place_soon()
 
     def _lost(self, wire: Wire, why: str):
         self.pool.drop(self)
@@ -250,8 +250,7 @@
 
     def close(self) -> None:
         self.closed = True
-        for task in self.opening:
-            task.cancel()
+        self.cancel_tasks()
         for conn in list(self.conns.values()):
             conn.wire.end("the pool is closed")
         self.withdraw_waiting("the pool is closed")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,6 +1,7 @@
 """Two events cross, each time at a point that the test holds: docs/design/crossings.md has a row for each."""
 
 import asyncio
+import errno
 import json
 import time
 from types import SimpleNamespace
@@ -111,6 +112,31 @@
     played(scene)
 
 
+def test_an_answer_that_makes_room_during_a_stall_does_not_let_out_what_waits_for_a_client_that_left_in_it():
+    """The answer is read first, and the waiting request would be written before the end of its client is known."""
+
+    async def scene():
+        with faulty_sockets(Faults()) as faults:
+            one = InvokerStandIn(lambda tag: None if tag == "a" * 16 else hit(tag))
+            async with Scene(one, settings=settings(streamsPerConn=1, connectTimeout=3000)) as world:
+                await world.warmed()
+                faults.invoker_ports = {one.port}
+                faults.planned = {("invoker", "connect", n): errno.EADDRNOTAVAIL for n in range(1, 1_000)}
+                first, second = await world.client(), await world.client()
+                first.send(asked(1, id="a" * 16))
+                await until(lambda: one.runs() == ["f" * 16, "a" * 16])
+                second.send(asked(1, id="b" * 16))
+                await until(lambda: world.node.door.invokers["s-0"].waiting)
+                one.writers[0].write(hit("a" * 16))
+                second.close()
+                time.sleep(STALL)
+                assert await first.answers(1) == [(17, 1, 0)]
+                await asyncio.sleep(0.1)
+                assert one.runs() == ["f" * 16, "a" * 16] and not world.node.door.clients
+
+    played(scene)
+
+
 def test_a_connection_that_comes_up_in_the_turn_in_which_the_client_leaves_writes_nothing(monkeypatch):
     async def scene():
         async with Scene(InvokerStandIn(full=True), **LATE_CONNECT) as world:
