Load orders: a request counts by when it was sent, not when it was read after a pause

Traced: all that had waited in its sockets counted as traffic of the window in which it was read (policy/controller.py, _arrived), while those that send count it where it was sent. Any pause can do that, also where decisions go on differently; the plan of zones had only made it visible. Change: a request carries for how long it may have waited unread (known before for its deadline alone), and the ration counts it there. The ration is a module of its own, policy/order_ration.py. Tests: two new ones and waiting requests in the property test fail without it. The test of damaged records overwrote the last five bytes, which now are inside a number that any bytes make; it overwrites twenty.

--- a/sprucespool/daemon/door.py
+++ b/sprucespool/daemon/door.py
@@ -294,6 +294,7 @@
             number(names.LOAD_TIME, facts.load_time if facts else None),
             call.metadata.get(names.PREVIOUS_ATTEMPTS, "0") not in ("", "0"),
             bool(told.parameters.get(names.WRITE, False)),
+            waited=waited,
         )
 
     def _client_gone(self, client: _Client):
--- a/sprucespool/gateway/core.py
+++ b/sprucespool/gateway/core.py
@@ -223,6 +223,7 @@
             given.repeat,
             given.write,
             given.zones,
+            given.waited,
         )
         held = self.calls[given.call] = _Held(inference, now + given.ttl)
         # Against a module that forgets one: answered all the same when its client's time is up.
--- a/sprucespool/gateway/messages.py
+++ b/sprucespool/gateway/messages.py
@@ -36,6 +36,8 @@
     write: bool = False
     # Zones of invokers that it may go to, the first of them first; empty: it is to be shed.
     zones: tuple[str, ...] | None = None
+    # For how long it may have waited unread, as through a pause of the process.
+    waited: float = 0.0
 
 
 class Left(_Input):
--- a/sprucespool/interface.py
+++ b/sprucespool/interface.py
@@ -152,6 +152,8 @@
     # Zones of invokers that it may go to, the first of them first; none at all: it is to be shed. None: anywhere.
     # Told only where controllers follow a plan of zones in common.
     zones: tuple[str, ...] | None = None
+    # For how long it may have waited unread, as through a pause of the process.
+    waited: float = 0.0
     forwards: list[Forward] = field(default_factory=list)
     belief: Any = None
 
--- a/sprucespool/lab/world.py
+++ b/sprucespool/lab/world.py
@@ -386,11 +386,11 @@
             which = (which + 1) % self.controllers
         tried = _Try(plan, f"{plan.root}.{nth}", nth, begun, ttl, which)
         self.note(seen.Sent(self.now, tried.id, plan.root, which, plan.group, ttl, plan.tenant, nth))
-        self._later(WAY.delay, partial(self._at_door, tried, self.now + ttl))
+        self._later(WAY.delay, partial(self._at_door, tried, self.now, self.now + ttl))
         wait = ttl + LISTEN_ON if plan.leaves_part is None else ttl * plan.leaves_part
         self._later(wait, partial(self._waited, tried))
 
-    def _at_door(self, tried: _Try, until: float):
+    def _at_door(self, tried: _Try, sent: float, until: float):
         if tried.over:
             return
         one = self.members.get(f"c{tried.which}")
@@ -400,7 +400,7 @@
         desk.tries[tried.id] = tried
         if one.name in self.still:
             # It waits in the socket.
-            return self._later(10.0, partial(self._at_door, tried, until))
+            return self._later(10.0, partial(self._at_door, tried, sent, until))
         call = ms.Call(
             tried.id,
             plan.group,
@@ -412,6 +412,7 @@
             None,
             None,
             bool(tried.nth) and self.day.clients.marked,
+            waited=max(0.0, self.now - sent - WAY.delay),
         )
         if self.day.failover is not None:
             part, group = self.parts[one], self.model_groups[plan.group]
--- a/sprucespool/node/door.py
+++ b/sprucespool/node/door.py
@@ -167,6 +167,7 @@
             request.lanes,
             request.load_time,
             request.repeat,
+            waited=unread,
         )
         client = _Client(given.call, peer, request, given, now, now + ttl)
         peer.calls[request.stream] = client
--- a/sprucespool/policy/controller.py
+++ b/sprucespool/policy/controller.py
@@ -9,7 +9,6 @@
 import itertools
 import math
 import zlib
-from collections import deque
 from collections.abc import Callable
 from types import SimpleNamespace
 
@@ -46,6 +45,7 @@
     Told,
 )
 from sprucespool.policy.beliefs import FIRST_TRIAL, ModelBelief, OwnLoad, RequestBelief, RunningMean, Worker, open_to
+from sprucespool.policy.order_ration import OrderRation
 from sprucespool.policy.shared_order import PRIME, WHOLE, Fleet, SharedOrder, salt_of
 
 PULSE, DUE, PULSE_EVERY = 1, 2, 200.0
@@ -90,7 +90,7 @@
         # Pods that may be suspects; models by the time at which something of theirs must be looked at.
         self.ill, self.looks, self.models, self.levels, self.turns = {}, [], 0, {}, {}
         self.known, self.parked, self.loads, self.buckets = {}, {}, {}, {}
-        self.orders, self.arrivals = deque(), deque()
+        self.ration = OrderRation(deployment.order_floor, deployment.order_share, deployment.order_window)
         self.usual = {group: RunningMean(group.slo_time / 4) for group in deployment.groups}
         self.loading = RunningMean(max(group.slo_time for group in deployment.groups))
         self.kinds, self.rates, self.even, self.bare, self.averaged = {}, {}, 0.0, 1.0, 0.0
@@ -202,7 +202,7 @@
         mdl.part *= math.exp((mdl.asked_at - self.now) / self.memory)
         mdl.asked, mdl.asked_at = mdl.asked + 1, self.now
         mdl.lanes, mdl.load_time = inf.lanes or mdl.lanes, inf.load_time or mdl.load_time
-        self.arrivals.append(self.now)
+        self.ration.request_sent(self.now - inf.waited, self.now)
         until = self.now + max(0.0, inf.ttl - 2 * self.dep.tick)
         inf.belief = RequestBelief(self.now, until, self._beyond_share(inf) or inf.zones == (), self._chance() / 2**32)
         self._due(until, inf)
@@ -474,7 +474,7 @@
         """The one gate through which every order passes."""
         allowed = self._may_order(pod)
         if allowed:
-            self.orders.append(self.now)
+            self.ration.order_sent(self.now)
             self.actions.append(Order(pod.entry.invoker, mdl.model, 1))
         return allowed
 
@@ -599,13 +599,7 @@
         )
 
     def _may_order(self, pod: Worker) -> bool:
-        dep = self.dep
-        while self.orders and self.orders[0] < self.now - dep.order_window:
-            self.orders.popleft()
-        while self.arrivals and self.arrivals[0] <= self.now - dep.order_window:
-            self.arrivals.popleft()
-        ration = dep.order_floor + dep.order_share * len(self.arrivals)
-        return dep.may_order and pod.serving and (dep.order_window <= 0 or len(self.orders) + 1 <= ration)
+        return self.dep.may_order and pod.serving and self.ration.allows_order(self.now)
 
     def _cold(self, pod: Worker) -> bool:
         return self.now < pod.warm_at
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -265,4 +265,4 @@
     with pytest.raises(ReplayError, match="expected a record|head of the record"):
         replay(io.BytesIO(b"\x00\x00\x00\x02hi"), again.append)
     with pytest.raises(ReplayError, match="batch 1"):
-        replay(io.BytesIO(whole[:-5] + b"\xc1" * 5), again.append)
+        replay(io.BytesIO(whole[:-20] + b"\xc1" * 20), again.append)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,11 +5,13 @@
 from world import World, deployment, group
 
 from sprucespool import interface as it
+from sprucespool.policy.order_ration import OrderRation
 
 OUTCOMES = st.sampled_from(list(it.Outcome))
 TTL = st.sampled_from([30.0, 400.0, 2500.0])
+WAITED = st.sampled_from([0.0, 0.0, 0.0, 300.0, 5000.0])
 STEP = st.one_of(
-    st.tuples(st.just("arrive"), st.integers(0, 2), st.integers(0, 4), TTL),
+    st.tuples(st.just("arrive"), st.integers(0, 2), st.integers(0, 4), TTL, WAITED),
     st.tuples(st.just("end"), st.integers(0, 9), OUTCOMES, st.sampled_from(list(it.Found))),
     st.tuples(st.just("settle"), st.integers(0, 9), OUTCOMES),
     st.tuples(st.just("wait"), st.sampled_from([0.0, 3.0, 40.0, 300.0, 1200.0])),
@@ -59,7 +61,7 @@
         world.roster(f"w{n}", **place(n))
     for step, *how in steps:
         if step == "arrive":
-            world.arrive(f"m{how[0]}", world.dep.groups[how[1]], how[2])
+            world.arrive(f"m{how[0]}", world.dep.groups[how[1]], how[2], waited=how[3])
         elif step == "end" and world.out:
             forward = list(world.out)[how[0] % len(world.out)]
             if how[1] is not it.Outcome.RETURNED or forward.inference in world.open:
@@ -78,3 +80,28 @@
             world.roster(*[f"w{n}" for n in range(4) if n % 2 == 0 and n < how[0]], kind=it.News.REPLACE)
     world.wait(12000.0)
     assert not world.open, "an inference without an answer"
+
+
+def test_requests_that_waited_through_a_pause_allow_no_load_orders_of_after_it():
+    """Sent over five seconds and read in one turn, they are not the traffic of the window in which they are read."""
+    world = World(deployment(loads_on_miss=False, order_window=1000.0, order_floor=4.0, order_share=0.2, controllers=9))
+    world.roster(*(f"w{n}" for n in range(40)))
+    world.wait(100.0)
+    for number in range(60):
+        world.arrive(f"m{number}", waited=5000.0 - 80.0 * number)
+    for forward in list(world.out):
+        world.end(forward, it.Outcome.MISS)
+    assert 0 < len(world.order_times) <= 4 + 0.2 * 12
+
+
+def test_the_ration_counts_requests_by_when_they_were_sent():
+    ration = OrderRation(floor=1.0, share=0.5, window=1000.0)
+    ration.request_sent(at=4_500.0, now=5_000.0)
+    ration.request_sent(at=5_000.0, now=5_000.0)
+    ration.request_sent(at=3_000.0, now=5_000.0)
+    assert ration.allows_order(5_000.0)
+    ration.order_sent(5_000.0)
+    assert ration.allows_order(5_400.0)
+    ration.order_sent(5_400.0)
+    # Of the three requests one is left in the window, and both orders.
+    assert not ration.allows_order(5_600.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -121,7 +121,7 @@
         inf = it.Inference(**{**facts, **over})
         self.open[inf] = self.now + ttl
         self.ran[inf] = []
-        self.arrival_times.append(self.now)
+        self.arrival_times.append(self.now - inf.waited)
         return inf, self.tell(it.Arrived(inf))
 
     def end(self, forward, outcome=it.Outcome.RETURNED, found=it.Found.WARM, load_failed=False):
