--- a/sprucespool/policy/beliefs.py
+++ b/sprucespool/policy/beliefs.py
@@ -43,7 +43,9 @@
         self.out: dict[Forward, None] = {}
         self.suspect, self.rumour, self.trial_at, self.trial_gap = False, False, 0.0, FIRST_TRIAL
         self.full_until = self.unfit_until = self.carried = self.rate = self.narrowed = self.strain = 0.0
-        self.grant, self.granted_at, self.window, self.broken_at = None, now, FIRST_WINDOW, 0.0
+        # Of the slow start: what it may be sent now, None while that was never asked.
+        self.grant: float | None = None
+        self.granted_at, self.window, self.broken_at = now, FIRST_WINDOW, 0.0
 
     @property
     def size(self) -> float:
@@ -62,6 +64,8 @@
 
 def open_to(inf: Inference, pod: Worker) -> bool:
     """Under a plan of zones: the first that it names, and where a forward failed the others too."""
+    if inf.zones is None:
+        return True
     return pod.zone in (inf.zones if inf.forwards else inf.zones[:1])
 
 
@@ -78,12 +82,27 @@
 class ModelBelief:
     """What is believed of one model: its queue of warm invokers, own lanes taken, loads, shared places."""
 
-    def __init__(self, model: Model, number: int, turns: SharedOrder):
-        self.model, self.number, self.lanes, self.load_time, self.look_at = model, number, 1, None, math.inf
+    def __init__(self, model: Model, number: int, turns: SharedOrder[Worker]):
+        self.model, self.number, self.lanes, self.look_at = model, number, 1, math.inf
+        self.load_time: float | None = None
         self.asked, self.asked_at, self.part = 0, 0.0, 0.0
         self.turns = turns
-        # By invoker: until when an entry holds, for how many copies; own lanes taken; own loads; all ever.
-        self.warm, self.busy, self.loads, self.stood, self.told = {}, {}, {}, {}, {}
+        # By worker: until when an entry holds, for how many copies; own lanes taken; own loads; all that ever held it;
+        # until when an entry holds that others told of.
+        self.warm: dict[Worker, tuple[float, int]] = {}
+        self.busy: dict[Worker, int] = {}
+        self.loads: dict[Worker, OwnLoad] = {}
+        self.stood: dict[Worker, None] = {}
+        self.told: dict[Worker, float] = {}
+
+
+class AttemptBelief:
+    """An attempt that is out. `cold`: no own entry says that the worker holds the model."""
+
+    __slots__ = ("pod", "at", "cold", "rescued")
+
+    def __init__(self, pod: Worker, at: float, cold: bool):
+        self.pod, self.at, self.cold, self.rescued = pod, at, cold, False
 
 
 class RequestBelief:
@@ -91,4 +110,8 @@
 
     def __init__(self, arrived: float, until: float, cheap: bool, luck: float):
         self.arrived, self.until, self.cheap, self.luck = arrived, until, cheap, luck
-        self.ran, self.out, self.tried, self.load = [], {}, [], None
+        # Attempts that may have run and are over: where, and when they were sent.
+        self.ran: list[tuple[Worker, float]] = []
+        self.out: dict[Forward, None] = {}
+        self.tried: list[Worker] = []
+        self.load: OwnLoad | None = None
--- a/sprucespool/policy/controller.py
+++ b/sprucespool/policy/controller.py
@@ -8,9 +8,9 @@
 import heapq
 import itertools
 import math
-import zlib
 from collections.abc import Callable
-from types import SimpleNamespace
+from functools import partial
+from typing import Any
 
 from sprucespool.interface import (
     Arrived,
@@ -44,9 +44,24 @@
     TimerDue,
     Told,
 )
-from sprucespool.policy.beliefs import FIRST_TRIAL, ModelBelief, OwnLoad, RequestBelief, RunningMean, Worker, open_to
+from sprucespool.policy.beliefs import (
+    FIRST_TRIAL,
+    AttemptBelief,
+    ModelBelief,
+    OwnLoad,
+    RequestBelief,
+    RunningMean,
+    Worker,
+    open_to,
+)
+from sprucespool.policy.chance import Chance
 from sprucespool.policy.order_ration import OrderRation
+from sprucespool.policy.own_traffic import OwnTraffic
+from sprucespool.policy.retry_rules import RetryRules
 from sprucespool.policy.shared_order import PRIME, WHOLE, Fleet, SharedOrder, salt_of
+from sprucespool.policy.slow_start import SlowStart
+from sprucespool.policy.tenant_shares import TenantShares
+from sprucespool.policy.worker_index import AVERAGE, WorkerIndex
 
 PULSE, DUE, PULSE_EVERY = 1, 2, 200.0
 NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.NOT_SENT, Outcome.MISS)
@@ -54,20 +69,15 @@
 SLOW_PACE, LAST_TRIAL = 2.5, 8000.0
 # The least window on own work that bad news leaves. Parts of the SLO time:
 # slower answers narrow that window, faster ones widen it, what is held longer is shed. The part of a window
-# open to work beyond a tenant's share; the least own share, in inferences.
-LEAST_WINDOW, STRAINED, EASY, HELD, BEYOND, LEAST_BUCKET = 0.1, 0.6, 0.4, 0.3, 0.5, 10.0
-# Idle times a model's last warm copy is held beyond its use; others' calls that keep it without. Places that
-# a model's part of the traffic is worth, and how many wait when half may load, for each invoker. Steps of own
-# load within which several controllers meet. The least part of bare forwards that is taken to load. Own
-# calls within a keep-alive that hold one of a favourite's places.
-RENEWALS, OTHERS_KEEP, PLACES, FEW_LOADS, QUEUED, STEP, LEAST_BARE = 3.0, 2.0, 3.0, 3.0, 2.0, 16, 0.1
+# open to work beyond a tenant's share.
+LEAST_WINDOW, STRAINED, EASY, HELD, BEYOND = 0.1, 0.6, 0.4, 0.3, 0.5
+# Idle times a model's last warm copy is held beyond its use; others' calls that keep it without. How many wait when
+# half may load, for each invoker. Steps of own load within which several controllers meet. The least part of bare
+# forwards that is taken to load. Own calls within a keep-alive that hold one of a favourite's places.
+RENEWALS, OTHERS_KEEP, FEW_LOADS, QUEUED, STEP, LEAST_BARE = 3.0, 2.0, 3.0, 2.0, 16, 0.1
 RENEWED_BY = 2.0
-# Of several controllers, own calls within a keep-alive for each near invoker below which own entries lapse unrenewed.
-# The least part of a keep-alive that a process that just began is taken to have counted for.
-THIN_TRAFFIC, LEAST_COUNTED = 4.0, 0.1
-# Shared orders of the invokers, for all models together. The part of the cold budget used, as arrivals bunch; the
-# time over which carried work is averaged.
-ORDERS, COLD_CAUTION, CARRIED_OVER = 1024, 0.4, 5000.0
+# Shared orders of the invokers, for all models together.
+ORDERS = 1024
 # Where an order holds only a part of a large fleet and nothing of it fits: others that are looked at, by chance.
 OTHERS_TRIED = 16
 # Of a large fleet kinds are weighed with each so many pulses.
@@ -75,31 +85,45 @@
 
 
 class Controller:
+    """Decides for one controller process. `handle` takes what happened and gives what is to be done."""
+
     def __init__(self, deployment: Deployment, seed: int):
-        self.dep, self.seed, self.step = deployment, seed, STEP if deployment.controllers > 1 else 1
+        self.dep = deployment
+        self.chance, self.rules, self.traffic = Chance(seed), RetryRules(deployment), OwnTraffic(deployment)
+        self.slow_start, self.tenant_shares = SlowStart(deployment, self.chance), TenantShares()
+        self.index = WorkerIndex(STEP if deployment.controllers > 1 else 1)
         self.salt = salt_of(f"controller {deployment.own_number}")
         # Controllers that are there, and by how many what they share is to be divided for this one.
         self.live, self.sharers = deployment.controllers, float(deployment.controllers)
-        self.now, self.armed, self.counter = 0.0, math.inf, 0
-        self.actions = [SetTimer(PULSE_EVERY, PULSE)] + [Subscribe(True)] * deployment.roster_asked
+        self.now, self.armed = 0.0, math.inf
+        self.actions: list[Any] = [SetTimer(PULSE_EVERY, PULSE)]
+        if deployment.roster_asked:
+            self.actions.append(Subscribe(True))
         self.pulses = 0
+        # Workers in service; of these: how many are near, and own attempts in flight to them.
+        self.pods: list[Worker] = []
+        self.near = self.in_flight = 0
         # Those of which something changes with time: the pulse looks at no others.
         self.active: dict[Worker, None] = {}
-        self.pods, self.dues, self.near, self.in_flight = [], [], 0, 0
-        self.fleet = Fleet()
-        # Pods that may be suspects; models by the time at which something of theirs must be looked at.
-        self.ill, self.looks, self.models, self.levels, self.turns = {}, [], 0, {}, {}
-        self.known, self.parked, self.loads, self.buckets = {}, {}, {}, {}
+        # What is due, by time: a request's end, a load given up on, or the list of workers (None) to be asked for.
+        self.dues: list[tuple[float, int, Inference | OwnLoad | None]] = []
+        self.fleet: Fleet[Worker] = Fleet()
+        # Workers that may be suspects; models by the time at which something of theirs must be looked at.
+        self.ill: dict[Worker, None] = {}
+        self.looks: list[tuple[float, int, ModelBelief]] = []
+        self.turns: dict[int, SharedOrder[Worker]] = {}
+        # Models that something is believed of, and how many there ever were; requests that no worker has room for.
+        self.known: dict[ModelBelief, None] = {}
+        self.models = 0
+        self.parked: dict[Inference, None] = {}
+        self.loads: dict[OwnLoad, None] = {}
         self.ration = OrderRation(deployment.order_floor, deployment.order_share, deployment.order_window)
         self.usual = {group: RunningMean(group.slo_time / 4) for group in deployment.groups}
         self.loading = RunningMean(max(group.slo_time for group in deployment.groups))
-        self.kinds, self.rates, self.even, self.bare, self.averaged = {}, {}, 0.0, 1.0, 0.0
-        # When the first request came.
-        self.began: float | None = None
-        # Whether requests go by a plan of zones.
-        self.planned = False
-        self.traffic, self.traffic_at, self.memory = 0.0, 0.0, max(deployment.keep_alive, 1.0)
-        self.handlers = {
+        # How an answer's time stands to the usual one, by kind of worker.
+        self.kinds: dict[str, RunningMean] = {}
+        self.bare = 1.0
+        self.handlers: dict[type, Callable[[Any], None]] = {
             Arrived: self._arrived,
             Ended: self._ended,
             OrderSettled: self._settled,
@@ -188,28 +212,26 @@
             if not wanted or mdl.loads or len(self.loads) >= self._load_window():
                 continue
             # Against a fleet that leaves one by one (deploys, deaths): loaded again before it is missed.
-            bare = self._seek(mdl, lambda other, warm=mdl.warm: other not in warm and not other.suspect)
+            bare = self._seek(mdl, partial(self._is_bare, mdl))
             if bare:
                 self._order(mdl, bare)
         pod.holds.clear()
 
+    def _is_bare(self, mdl: ModelBelief, pod: Worker) -> bool:
+        return pod not in mdl.warm and not pod.suspect
+
     def _arrived(self, event: Arrived):
-        inf = event.inference
-        if self.began is None:
-            self.began = self.now
-        self.planned = inf.zones is not None
+        inf, now = event.inference, self.now
         mdl = self._known(inf.model)
-        mdl.part *= math.exp((mdl.asked_at - self.now) / self.memory)
-        mdl.asked, mdl.asked_at = mdl.asked + 1, self.now
+        self.traffic.arrived(mdl, now, inf.zones is not None)
         mdl.lanes, mdl.load_time = inf.lanes or mdl.lanes, inf.load_time or mdl.load_time
-        self.ration.request_sent(self.now - inf.waited, self.now)
-        until = self.now + max(0.0, inf.ttl - 2 * self.dep.tick)
-        inf.belief = RequestBelief(self.now, until, self._beyond_share(inf) or inf.zones == (), self._chance() / 2**32)
+        self.ration.request_sent(now - inf.waited, now)
+        until = now + max(0.0, inf.ttl - 2 * self.dep.tick)
+        cheap = self.tenant_shares.is_beyond(inf, now, self.sharers) or inf.zones == ()
+        inf.belief = RequestBelief(now, until, cheap, self.chance.fraction())
         self._due(until, inf)
         self._place(inf)
-        # Counted when placed: the call at hand alone would make each rare model look like a favourite.
-        self.traffic = 1.0 + self.traffic * math.exp((self.traffic_at - self.now) / self.memory)
-        mdl.part, self.traffic_at = mdl.part + 1.0, self.now
+        self.traffic.count(mdl, now)
 
     def _known(self, model: Model) -> ModelBelief:
         if model.belief is None:
@@ -220,16 +242,6 @@
             self._look(model.belief, self.now + RENEWALS * self.dep.keep_alive)
         return model.belief
 
-    def _beyond_share(self, inf: Inference) -> bool:
-        """Own part of the tenant's share, as a bucket of one second but of no less than some inferences, or
-        chance would empty it. A repeat takes nothing, or what was shed would be shed again."""
-        part = inf.tenant.quota_per_s / self.sharers if inf.tenant else 1e9
-        most = max(part, LEAST_BUCKET)
-        level, at = self.buckets.get(inf.tenant, (most, self.now))
-        level = max(-1.0, min(most, level + part * (self.now - at) / 1000.0) - (not inf.repeat))
-        self.buckets[inf.tenant] = level, self.now
-        return level < 0.0
-
     def _close(self, inf: Inference, keep: Forward | None = None):
         """The inference is answered: whatever is still out for it is work for nobody."""
         mind, inf.belief = inf.belief, None
@@ -243,7 +255,7 @@
     def _finish(self, inf: Inference):
         """Given up: a shed tells the client that another try is harmless, so it goes wherever it is true."""
         wait = self.dep.tells_retry_after * min(self.usual[inf.group].mean, self.dep.longest_retry_after)
-        self.actions.append(Shed(inf, wait) if self._may_shed(inf) else Fail(inf))
+        self.actions.append(Shed(inf, wait) if self.rules.may_shed(inf) else Fail(inf))
         self._close(inf)
 
     # Placement
@@ -314,7 +326,7 @@
         waits behind a warm copy, or a load already set going, while that is sooner than one of its own."""
         load_time = mdl.load_time if mdl.load_time and not self.loading.seen else self.loading.mean
         most = mdl.lanes * load_time / max(1.0, self.usual[inf.group].mean)
-        queue = {pod: mdl.busy.get(pod, 0) / mdl.warm[pod][1] for pod in warm}
+        queue: dict[Worker, float] = {pod: mdl.busy.get(pod, 0) / mdl.warm[pod][1] for pod in warm}
         queue.update(
             {
                 load.pod: len(load.waiting) + mdl.busy.get(load.pod, 0)
@@ -322,7 +334,9 @@
                 if has_room(load.pod)
             }
         )
-        best = queue and self._first([(waits, len(pod.out)) for pod, waits in queue.items()], list(queue))
+        best = None
+        if queue:
+            best = self.chance.first([(waits, len(pod.out)) for pod, waits in queue.items()], list(queue))
         bare = None
         if len(self.loads) < self._load_window() and not (best and queue[best] < most):
             bare = self._seek(mdl, lambda pod: pod not in queue and pod not in mdl.loads and has_room(pod))
@@ -336,17 +350,7 @@
         return bool(inf.belief.out or inf.belief.load)
 
     def _file(self, pod: Worker):
-        """Where the pod stands in the index: under its own load while its window is open, or as the mean."""
-        kept = pod.serving and pod.work < pod.window
-        level = None if not kept else -1 if pod.new or self._cold(pod) else len(pod.out) // self.step
-        if level != pod.level:
-            if pod.level is not None:
-                del self.levels[pod.level][pod]
-                if not self.levels[pod.level]:
-                    del self.levels[pod.level]
-            if level is not None:
-                self.levels.setdefault(level, {})[pod] = None
-            pod.level = level
+        self.index.file(pod, self._cold(pod))
 
     def _seek(self, mdl: ModelBelief, fits: Callable[[Worker], bool]) -> Worker | None:
         """The least-loaded that fits; among equals the own hall first, then the model's shared order."""
@@ -354,51 +358,30 @@
             self._file_known()
         places, turns = self._places(mdl), self._turns(mdl)
         # In whole inferences: with little traffic the few invokers heard would else be all that is used.
-        mean, average = self.in_flight // max(1, self.step * len(self.pods)), self.levels.get(-1, {})
-        for level in sorted({max(level, mean) if level < 0 else level for level in self.levels}):
-            held, also = self.levels.get(level, {}), average if level == mean else {}
-            few = 8 * (len(held) + len(also)) < len(turns.order)
-            ties, key = [], None
-            ranked = turns.order
-            if few:
-                ranked = sorted([pod for pod in (*held, *also) if pod in turns.ranks], key=turns.ranks.get)
-            for pod in ranked:
-                if few or pod.level == level or also and pod.level == -1:
-                    its = pod.far, max(places - 1, turns.ranks[pod])
-                    if ties and its != key:
-                        break
-                    if fits(pod):
-                        key = its
-                        ties.append(pod)
-            if ties:
-                return ties[0] if len(ties) == 1 else self._first([0] * len(ties), ties)
+        mean = self.in_flight // max(1, self.index.step * len(self.pods))
+        ties = self.index.least_loaded(turns, mean, places, fits)
+        if ties:
+            return ties[0] if len(ties) == 1 else self.chance.first([0] * len(ties), ties)
         return self._seek_beyond(fits) if len(turns.order) < len(self.pods) else None
 
     def _seek_beyond(self, fits: Callable[[Worker], bool]) -> Worker | None:
         """Of a large fleet, some by chance that the model's shared order does not hold."""
         for _ in range(OTHERS_TRIED):
-            pod = self.pods[self._chance() % len(self.pods)]
+            pod = self.pods[self.chance.next() % len(self.pods)]
             if pod.level is not None and fits(pod):
                 return pod
         return None
 
     def _file_known(self):
         """Those that were new or cold, and are so no longer, stand in the index under their own load."""
-        for pod in [pod for pod in self.levels.get(-1, ()) if not pod.new and not self._cold(pod)]:
+        for pod in [pod for pod in self.index.levels.get(AVERAGE, ()) if not pod.new and not self._cold(pod)]:
             self._file(pod)
 
     def _least(self, pods: list[Worker]) -> Worker:
-        return self._first([(len(pod.out), pod.far) for pod in pods], pods)
-
-    def _first(self, keys: list, pods: list[Worker]) -> Worker:
-        """Ties by chance; each place in the list has a draw of its own, and only those of ties are made."""
-        best, start = min(keys), self._count(len(pods))
-        ties = [n for n, key in enumerate(keys) if key == best]
-        return pods[ties[0] if len(ties) == 1 else min(ties, key=lambda n: self._draw(start + n))]
+        return self.chance.first([(len(pod.out), pod.far) for pod in pods], pods)
 
     def _places(self, mdl: ModelBelief) -> int:
-        """As many places as the model's part of the own traffic is worth."""
-        return math.ceil(PLACES * self.near * mdl.part / max(1.0, self.traffic))
+        return self.traffic.places(mdl, self.near)
 
     def _turns(self, mdl: ModelBelief) -> SharedOrder:
         """Ties by a draw that all controllers share: each sees too little of others' copies, and by chance
@@ -407,16 +390,7 @@
         return mdl.turns
 
     def _thin(self) -> bool:
-        """Own entries lapse before own traffic renews them: a favourite is sought in all its places."""
-        if self.live > len(self.pods):
-            return True
-        # A plan of zones sends traffic by what zones take: more copies than own traffic keeps warm would look like
-        # zones that take little, and move it.
-        if self.live == 1 or self.began is None or self.planned:
-            return False
-        # Own calls are counted from nothing: what they will be in a whole keep-alive is in question.
-        counted = max(LEAST_COUNTED, 1.0 - math.exp((self.began - self.now) / self.memory))
-        return self.traffic < THIN_TRAFFIC * self.near * counted
+        return self.traffic.is_thin(self.now, self.live, len(self.pods), self.near)
 
     def _park(self, inf: Inference):
         if not inf.belief.out and (inf.belief.cheap or self._hopeless(inf)):
@@ -431,7 +405,7 @@
                 self._finish(inf)
                 continue
             del self.parked[inf]
-            if not self.levels and not self.ill and self._may_repeat(inf):
+            if not self.index.levels and not self.ill and self._may_repeat(inf):
                 # No window is open anywhere: placing it would only bring it back here.
                 self.parked[inf] = None
             else:
@@ -449,7 +423,7 @@
             raise AssertionError("a forward that the rules forbid")
         forward = Forward(inf, pod.entry.invoker, mind.until - self.now)
         cold = pod not in mdl.warm or pod in mdl.told
-        forward.belief = SimpleNamespace(pod=pod, at=self.now, cold=cold, rescued=False)
+        forward.belief = AttemptBelief(pod, self.now, cold)
         inf.forwards.append(forward)
         mind.tried.append(pod)
         mind.out[forward] = pod.out[forward] = self.active[pod] = None
@@ -457,7 +431,7 @@
         pod.cold += forward.belief.cold
         mdl.busy[pod] = mdl.busy.get(pod, 0) + 1
         if self._cold(pod):
-            pod.grant -= self.usual[inf.group].mean
+            self.slow_start.attempt_sent(pod, self.usual[inf.group].mean)
         self._file(pod)
         self.actions.append(forward)
 
@@ -560,63 +534,23 @@
     # Rules
 
     def _may_repeat(self, inf: Inference) -> bool:
-        """Whether any invoker could still be sent the inference, as far as its own past goes."""
-        mind, group = inf.belief, inf.group
-        if (
-            len(inf.forwards) >= self.dep.most_forwards
-            or self.now >= mind.until
-            or mind.out
-            and not self.dep.may_duplicate
-        ):
-            return False
-        if group.effect is Effect.NON_RETRIABLE:
-            return not mind.ran and not mind.out
-        # A forward is written a while after it is decided, when its connection stands.
-        window = group.dedup_window - self.dep.connect_timeout - self.dep.answer_slack
-        return group.effect is Effect.RETRIABLE or all(self.now - at < window for _, at in self._perhaps_ran(mind))
+        return self.rules.may_repeat(inf, self.now)
 
     def _may_forward(self, inf: Inference, pod: Worker) -> bool:
-        group = inf.group
         if not pod.serving or pod.full_until > self.now or inf.zones is not None and not open_to(inf, pod):
             return False
-        if group.scope is not Scope.ALL and any(
-            other.zone != pod.zone or group.scope is Scope.CELL and other.entry.cell != pod.entry.cell
-            for other, _ in self._perhaps_ran(inf.belief)
-        ):
+        if not self.rules.in_scope(inf, pod):
             return False
-        return not self._cold(pod) or self._cold_room(pod, self.usual[group].mean)
-
-    def _perhaps_ran(self, mind: RequestBelief) -> list[tuple[Worker, float]]:
-        return mind.ran + [(forward.belief.pod, forward.belief.at) for forward in mind.out]
-
-    def _may_shed(self, inf: Inference) -> bool:
-        group = inf.group
-        return (
-            group.effect is Effect.RETRIABLE
-            or not self._perhaps_ran(inf.belief)
-            or group.effect is Effect.DEDUPED
-            and group.scope is Scope.ALL
-        )
+        return not self._cold(pod) or self._cold_room(pod, self.usual[inf.group].mean)
 
     def _may_order(self, pod: Worker) -> bool:
         return self.dep.may_order and pod.serving and self.ration.allows_order(self.now)
 
     def _cold(self, pod: Worker) -> bool:
-        return self.now < pod.warm_at
+        return self.slow_start.is_cold(pod, self.now)
 
     def _cold_room(self, pod: Worker, weight: float) -> bool:
-        """Own part of what a cold invoker may be sent, after what warm ones like it return to this one. It is
-        saved up from a start drawn by chance: a forward free for each of many would push it over."""
-        dep = self.dep
-        age = max(0.0, self.now - dep.fall_window - pod.started)
-        share = dep.cold_share + (1 - dep.cold_share) * age / dep.warm_after
-        rate = COLD_CAUTION * dep.fall_multiple * share * min(1.0, dep.controllers / self.sharers)
-        rate *= self.rates.get((pod.kind, pod.zone), self.even)
-        if pod.grant is None:
-            pod.grant = weight * self._chance() / 2**32
-        most = max(weight, rate * dep.fall_window / 2)
-        pod.grant, pod.granted_at = min(most, pod.grant + rate * (self.now - pod.granted_at)), self.now
-        return pod.grant >= weight
+        return self.slow_start.has_room(pod, weight, self.now, self.sharers)
 
     # Outcomes
 
@@ -806,9 +740,7 @@
                 # Its few places in the draw are trial enough: forced ones would take most of thin traffic.
                 pod.suspect, pod.trial_gap = False, min(2 * pod.trial_gap, LAST_TRIAL)
                 self.ill.pop(pod, None)
-            if pod.carried or pod.rate > 1e-9:
-                pod.rate += PULSE_EVERY / CARRIED_OVER * (pod.carried / PULSE_EVERY - pod.rate)
-                pod.carried = 0.0
+            self.slow_start.average(pod, PULSE_EVERY)
             if pod.out and any(self._overdue(forward) for forward in pod.out):
                 # Takes work and answers nothing: hung, cut off, dead but not listed so.
                 self._doubt(pod)
@@ -819,8 +751,7 @@
             if forward.inference.belief and not forward.belief.rescued and self._overdue(forward):
                 self._rescue(forward.inference, forward)
         self.pulses += 1
-        # The averages start at nothing: of a controller that began a moment ago they are that much too low.
-        self.averaged += PULSE_EVERY / CARRIED_OVER * (1.0 - self.averaged)
+        self.slow_start.time_passed(PULSE_EVERY)
         if len(self.pods) <= WHOLE or self.pulses % WEIGHED_EVERY == 0:
             self._weigh_kinds()
         self._renew_due()
@@ -833,14 +764,9 @@
         steps = {kind: round(math.log(mean / min(seen.values()), 1.5)) for kind, mean in seen.items()}
         if steps != self.fleet.slowness:
             self.fleet.weigh(steps)
-        groups = {}
-        for pod in self.pods:
-            if not self._cold(pod):
-                groups.setdefault((pod.kind, pod.zone), []).append(pod.rate)
-        self.rates = {group: sum(rates) / len(rates) / self.averaged for group, rates in groups.items()}
-        # For a kind of which none is warm in the hall: half an even part of the own traffic.
         usual = min(usual.mean for usual in self.usual.values())
-        self.even = self.traffic / self.memory * usual / max(1, len(self.pods)) / 2
+        even = self.traffic.recent / self.traffic.memory * usual / max(1, len(self.pods))
+        self.slow_start.weigh(self.pods, self.now, even)
 
     def _rescue(self, inf: Inference, forward: Forward):
         forward.belief.rescued = True
@@ -850,7 +776,7 @@
             self.actions.append(CallOff(forward))
 
     def _due(self, at: float, what: Inference | OwnLoad | None):
-        heapq.heappush(self.dues, (at, self._count(), what))
+        heapq.heappush(self.dues, (at, self.chance.take(), what))
 
     def _timer(self, event: TimerDue):
         if event.token == PULSE:
@@ -865,13 +791,3 @@
             elif what in self.loads:
                 self._doubt(what.pod)
                 self._abandon(what)
-
-    def _chance(self) -> int:
-        return self._draw(self._count())
-
-    def _count(self, many: int = 1) -> int:
-        self.counter += many
-        return self.counter - many
-
-    def _draw(self, number: int) -> int:
-        return zlib.crc32(b"%d:%d" % (self.seed, number))
--- a/sprucespool/policy/shared_order.py
+++ b/sprucespool/policy/shared_order.py
@@ -6,7 +6,7 @@
 import heapq
 import math
 from collections.abc import Iterable
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 # A prime for the draws.
 PRIME = 2**61 - 1
@@ -30,22 +30,25 @@
     def size(self) -> float: ...
 
 
+Member = TypeVar("Member", bound=Endpoint)
+
+
 def salt_of(name: str) -> int:
     """A number that all controllers draw with for the name."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=7).digest(), "big") + 1
 
 
-class Fleet:
+class Fleet(Generic[Member]):
     """The invokers in service, as the orders see them. `version` counts changes of who serves or how fast kinds are."""
 
     def __init__(self) -> None:
         self.version = 0
         self.slowness: dict[str, int] = {}
         # Since the last time that all orders were to be made anew: who came into service.
-        self.joined: list[Endpoint] = []
+        self.joined: list[Member] = []
         self.epoch = 0
 
-    def came(self, worker: Endpoint) -> None:
+    def came(self, worker: Member) -> None:
         """A worker came into service."""
         self.joined.append(worker)
 
@@ -66,21 +69,21 @@
         self.epoch += 1
 
 
-class SharedOrder:
+class SharedOrder(Generic[Member]):
     """One order, for all models that fall on it. Brought up to date when it is asked for."""
 
     def __init__(self, number: int):
         self.salt = salt_of(f"turn {number}")
-        self.order: list[Endpoint] = []
-        self.ranks: dict[Endpoint, int] = {}
-        self._draws: dict[Endpoint, float] = {}
+        self.order: list[Member] = []
+        self.ranks: dict[Member, int] = {}
+        self._draws: dict[Member, float] = {}
         self._version: int | None = None
         self._epoch: int | None = None
         self._joined = 0
         # Of an order that holds a part of the fleet: the key of its last member when it was made.
         self._last: tuple[bool, float] | None = None
 
-    def refresh(self, fleet: Fleet, serving: list[Endpoint]) -> None:
+    def refresh(self, fleet: Fleet[Member], serving: list[Member]) -> None:
         """Bring the order up to date with the fleet."""
         if self._version == fleet.version:
             return
@@ -92,12 +95,12 @@
             self._refresh_part(fleet, serving, slow)
         self.ranks = {worker: rank for rank, worker in enumerate(self.order)}
 
-    def _refresh_whole(self, serving: list[Endpoint], slow: dict[str, float]) -> None:
+    def _refresh_whole(self, serving: list[Member], slow: dict[str, float]) -> None:
         old, self._last = self._draws, None
         self._draws = {worker: old.get(worker) or self._draw(worker) for worker in serving}
         self.order = sorted(serving, key=lambda worker: self._key(worker, slow))
 
-    def _refresh_part(self, fleet: Fleet, serving: list[Endpoint], slow: dict[str, float]) -> None:
+    def _refresh_part(self, fleet: Fleet[Member], serving: list[Member], slow: dict[str, float]) -> None:
         kept = [worker for worker in self.order if worker.serving]
         last, joined = self._last, fleet.joined[self._joined :]
         current = last is not None and self._epoch == fleet.epoch and len(kept) >= PART // 2
@@ -105,7 +108,7 @@
         if current:
             assert last is not None
             better = [worker for worker in joined if worker.serving and self._key(worker, slow) <= last]
-            members: Iterable[Endpoint] = dict.fromkeys(kept + better)
+            members: Iterable[Member] = dict.fromkeys(kept + better)
         else:
             floor = PRIME - PRIME * CHOSEN_FROM * PART // len(serving)
             salt = self.salt
@@ -116,11 +119,11 @@
         if not current and self.order:
             self._last = self._key(self.order[-1], slow)
 
-    def _key(self, worker: Endpoint, slow: dict[str, float]) -> tuple[bool, float]:
+    def _key(self, worker: Member, slow: dict[str, float]) -> tuple[bool, float]:
         draw = self._draws.get(worker)
         if draw is None:
             draw = self._draws[worker] = self._draw(worker)
         return worker.far, draw * slow.get(worker.kind, 1.0)
 
-    def _draw(self, worker: Endpoint) -> float:
+    def _draw(self, worker: Member) -> float:
         return -math.log((self.salt * worker.salt % PRIME) / PRIME) / max(worker.size, 1e-3)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -194,7 +194,7 @@
         world.wait(100.0)
         world.end(forward)
     usual = world.controller.usual[world.dep.groups[0]].mean
-    assert 0.5 < world.controller.rates["std", "a"] / (usual / 100.0) < 1.5
+    assert 0.5 < world.controller.slow_start.rates["std", "a"] / (usual / 100.0) < 1.5
 
 
 def test_one_own_load_does_not_hold_back_other_models_where_traffic_is_thin():
