--- a/benchmarks/growth.py
+++ b/benchmarks/growth.py
@@ -85,7 +85,7 @@
     solo = Solo(deployment(controllers=200, handshake_price=0.08), plan, decider)
     solo.run()
     counts = solo.gateway.counts
-    met = sum(not worker.new for worker in made[0].module.pods)
+    met = sum(not worker.new for worker in made[0].module.workers)
     share = counts.returned / max(1, counts.taken)
     return Need(invokers, made[0].cpu, size_of(made[0].module) / 1e6, counts.forwards, met, share)
 
--- a/sprucespool/policy/beliefs.py
+++ b/sprucespool/policy/beliefs.py
@@ -32,12 +32,14 @@
 class Worker:
     """What is believed of one process of an invoker."""
 
-    def __init__(self, entry: RosterEntry, now: float, dep: Deployment):
+    def __init__(self, entry: RosterEntry, now: float, deployment: Deployment):
         self.entry, self.zone, self.kind, self.started = entry, entry.zone, entry.kind, entry.started
-        self.warm_at = entry.started and entry.started + dep.warm_after
-        self.far = dep.crossing_price > 0 and entry.zone != dep.own_zone
+        self.warm_at = entry.started and entry.started + deployment.warm_after
+        self.far = deployment.crossing_price > 0 and entry.zone != deployment.own_zone
         self.holds: dict[ModelBelief, None] = {}
+        # Where it stands in the index of workers, and whether that awaits the time at which it is warm.
         self.level: int | None = None
+        self.awaited = False
         self.salt = salt_of(entry.invoker.name)
         self.serving, self.heard, self.new, self.cold = False, now, True, 0
         self.out: dict[Forward, None] = {}
@@ -62,21 +64,21 @@
         return len(self.out) - self.cold
 
 
-def open_to(inf: Inference, pod: Worker) -> bool:
+def open_to(request: Inference, worker: Worker) -> bool:
     """Under a plan of zones: the first that it names, and where a forward failed the others too."""
-    if inf.zones is None:
+    if request.zones is None:
         return True
-    return pod.zone in (inf.zones if inf.forwards else inf.zones[:1])
+    return worker.zone in (request.zones if request.forwards else request.zones[:1])
 
 
 class OwnLoad:
     """A load this controller has set going, with the inferences that wait here until it stands."""
 
-    def __init__(self, mdl: ModelBelief, pod: Worker, ordered: bool):
-        self.mdl, self.pod, self.ordered = mdl, pod, ordered
+    def __init__(self, mdl: ModelBelief, worker: Worker, ordered: bool):
+        self.mdl, self.worker, self.ordered = mdl, worker, ordered
         self.waiting: dict[Inference, None] = {}
-        mdl.loads[pod] = self
-        pod.holds[mdl] = mdl.stood[pod] = None
+        mdl.loads[worker] = self
+        worker.holds[mdl] = mdl.stood[worker] = None
 
 
 class ModelBelief:
@@ -99,10 +101,10 @@
 class AttemptBelief:
     """An attempt that is out. `cold`: no own entry says that the worker holds the model."""
 
-    __slots__ = ("pod", "at", "cold", "rescued")
+    __slots__ = ("worker", "at", "cold", "rescued")
 
-    def __init__(self, pod: Worker, at: float, cold: bool):
-        self.pod, self.at, self.cold, self.rescued = pod, at, cold, False
+    def __init__(self, worker: Worker, at: float, cold: bool):
+        self.worker, self.at, self.cold, self.rescued = worker, at, cold, False
 
 
 class RequestBelief:
--- a/sprucespool/policy/retry_rules.py
+++ b/sprucespool/policy/retry_rules.py
@@ -8,7 +8,7 @@
 
 def perhaps_ran(belief: RequestBelief) -> list[tuple[Worker, float]]:
     """Attempts that are not proven not to have run: where, and when they were sent."""
-    return belief.ran + [(forward.belief.pod, forward.belief.at) for forward in belief.out]
+    return belief.ran + [(forward.belief.worker, forward.belief.at) for forward in belief.out]
 
 
 class RetryRules:
--- a/sprucespool/policy/worker_index.py
+++ b/sprucespool/policy/worker_index.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import heapq
+from collections.abc import Callable, Iterator
 
 from sprucespool.policy.beliefs import Worker
 from sprucespool.policy.shared_order import SharedOrder
@@ -19,9 +20,32 @@
     def __init__(self, step: int):
         self.step = step
         self.levels: dict[int, dict[Worker, None]] = {}
+        # Cold workers by the time from which they are warm; those that are no longer new.
+        self._warming: list[tuple[float, int, Worker]] = []
+        self._known: dict[Worker, None] = {}
+        self._filed = 0
+
+    def became_known(self, worker: Worker) -> None:
+        """It is no longer new: `due` gives it."""
+        self._known[worker] = None
+
+    def due(self, now: float) -> Iterator[Worker]:
+        """Those that are to be filed anew since they are warm, or known, by now."""
+        while self._known:
+            yield self._known.popitem()[0]
+        while self._warming and self._warming[0][0] <= now:
+            yield heapq.heappop(self._warming)[2]
+
+    def _await_warm(self, worker: Worker) -> None:
+        if not worker.awaited:
+            worker.awaited = True
+            self._filed += 1
+            heapq.heappush(self._warming, (worker.warm_at, self._filed, worker))
 
     def file(self, worker: Worker, cold: bool) -> None:
         """Bring up to date where the worker stands: nowhere once it has left or its window is full."""
+        if cold:
+            self._await_warm(worker)
         kept = worker.serving and worker.work < worker.window
         level = None if not kept else AVERAGE if worker.new or cold else len(worker.out) // self.step
         if level == worker.level:
--- a/sprucespool/standin/baselines.py
+++ b/sprucespool/standin/baselines.py
@@ -10,6 +10,8 @@
 from sprucespool.gateway import Decider, Gateway
 from sprucespool.gateway.messages import AnswerFailed, AnswerShed
 from sprucespool.policy import Controller
+from sprucespool.policy.beliefs import Worker
+from sprucespool.policy.retry_rules import RetryRules
 
 
 class _Plain:
@@ -85,14 +87,20 @@
 # Deciders with one guard out: the judge must tell each.
 
 
+class _AnyRetry(RetryRules):
+    def may_repeat(self, request: it.Inference, now: float) -> bool:
+        return len(request.forwards) < 4 and not request.belief.out and now < request.belief.until
+
+    def may_shed(self, request: it.Inference) -> bool:
+        return True
+
+
 class _Repeats(Controller):
     """Rule 2: sends again what may have run, and sheds it."""
 
-    def _may_repeat(self, inf: it.Inference) -> bool:
-        return len(inf.forwards) < 4 and not inf.belief.out and self.now < inf.belief.until
-
-    def _may_shed(self, inf: it.Inference) -> bool:
-        return True
+    def __init__(self, deployment: it.Deployment, seed: int):
+        super().__init__(deployment, seed)
+        self.rules = _AnyRetry(deployment)
 
 
 class _IgnoresDrains(Controller):
@@ -107,14 +115,15 @@
 class _PushesCold(Controller):
     """Rule 4: takes a cold invoker for a warm one, and the emptiest."""
 
-    def _cold(self, pod) -> bool:
+    def _cold(self, worker: Worker) -> bool:
         return False
 
-    def _place(self, inf: it.Inference):
-        young = [pod for pod in self.pods if pod.started and self.now < pod.started + self.dep.warm_after]
-        if young and not inf.forwards:
-            return self._forward(inf, young[0])
-        return super()._place(inf)
+    def _place(self, request: it.Inference):
+        warm_after = self.deployment.warm_after
+        young = [worker for worker in self.workers if worker.started and self.now < worker.started + warm_after]
+        if young and not request.forwards:
+            return self._forward(request, young[0])
+        return super()._place(request)
 
 
 class _OrdersFreely(Controller):
@@ -122,9 +131,8 @@
 
     def _arrived(self, event: it.Arrived):
         super()._arrived(event)
-        if self.pods:
-            actions: list = self.actions
-            actions.append(it.Order(self.pods[0].entry.invoker, event.inference.model, 1))
+        if self.workers:
+            self.actions.append(it.Order(self.workers[0].entry.invoker, event.inference.model, 1))
 
 
 DECIDERS: dict[str, Callable[[it.Deployment, int], Decider]] = {
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -349,7 +349,7 @@
     def listed(expected):
         deadline = time.monotonic() + 3
         while time.monotonic() < deadline:
-            pods = stage.call(lambda: sorted(pod.entry.invoker.name for pod in daemon.door.gateway.module.pods))
+            pods = stage.call(lambda: sorted(pod.entry.invoker.name for pod in daemon.door.gateway.module.workers))
             if pods == expected:
                 return True
             time.sleep(0.05)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -95,7 +95,7 @@
         world = World(dep)
         world.roster("w0", "w1")
         inf, acts = world.arrive("m", grp)
-        control, pod = world.controller, forwards(acts)[0].belief.pod
+        control, pod = world.controller, forwards(acts)[0].belief.worker
         assert not control._may_repeat(inf)
         assert control._may_forward(inf, pod) and control._may_order(pod)
         world.roster(pod.entry.invoker.name, status=it.Status.DRAINING)
@@ -229,7 +229,7 @@
     world.end(forwards(world.arrive("m")[1])[0], it.Outcome.TIMED_OUT)
     for _ in range(3):
         world.arrive("m")
-    loads = [(load.pod.entry.invoker.name, len(load.waiting)) for load in world.controller.loads]
+    loads = [(load.worker.entry.invoker.name, len(load.waiting)) for load in world.controller.loads]
     assert [waiting for _, waiting in loads] == [2, 0], "the first one's load has those who wait, the second's none"
     left = {"w0", "w1", "w2", "w3"} - {name for name, _ in loads}
     sent = forwards(world.roster(*sorted(left), kind=it.News.REPLACE))
--- a/tests/test_learning.py
+++ b/tests/test_learning.py
@@ -478,7 +478,7 @@
     (tmp_path / "told" / "invokers.kdl").write_text(
         f'invoker "{invokers[0]}" draining=#true\ninvoker "{invokers[1]}"\ninvoker "{invokers[2]}"\n'
     )
-    wait_until(lambda: len(stage.call(lambda: second.door.gateway.module.pods)) <= 2, 5.0)
+    wait_until(lambda: len(stage.call(lambda: second.door.gateway.module.workers)) <= 2, 5.0)
     ask_all(second)
     assert counts(stage, second).returned == 12
     now = [one.worker.tally.ran for one in fleet]
