--- a/sprucespool/daemon/fleet.py
+++ b/sprucespool/daemon/fleet.py
@@ -14,6 +14,7 @@
 from sprucespool.daemon.snapshots import SnapshotFile
 from sprucespool.fleet import Codec, Fleet, FleetLimits, Happened, Listed, NoteError, OpinionLimits, Peer, Send, Told
 from sprucespool.fleet.codec import MOST_SNAPSHOT
+from sprucespool.fleet.gateway_inputs import gateway_inputs
 from sprucespool.fleet.records import Record
 from sprucespool.gateway import messages as ms
 from sprucespool.grpc.status import Metadata, Status
@@ -172,24 +173,8 @@
         for where in fleet.take_probes():
             self.probe(where)
         places, doubts, events = fleet.take()
-        if places:
-            now = self.now()
-            rows = [
-                ms.Row(
-                    place.address,
-                    place.zone,
-                    place.kind,
-                    place.cell,
-                    place.status,
-                    place.size,
-                    place.boot,
-                    None if place.born is None else max(0.0, now - place.born),
-                )
-                for place in places
-            ]
-            self.tell(ms.Roster(it.News.UPDATE.value, fleet.version, rows))
-        for doubt in doubts:
-            self.tell(ms.Doubted(doubt.address, doubt.ill))
+        for given in gateway_inputs(places, doubts, fleet.version, self.now()):
+            self.tell(given)
         for event in events:
             self._event(event)
         if self.timer is not None:
--- a/sprucespool/lab/world.py
+++ b/sprucespool/lab/world.py
@@ -23,6 +23,7 @@
 from sprucespool.emulator.plans import Habits, PlanWorld
 from sprucespool.faults import LinkState
 from sprucespool.fleet import Doubt, Place, Told
+from sprucespool.fleet.gateway_inputs import gateway_inputs
 from sprucespool.gateway import Decider, Gateway
 from sprucespool.gateway import messages as ms
 from sprucespool.grpc.status import Status
@@ -297,24 +298,8 @@
     def _learned(self, one: Group, places: list[Place], doubts: list[Doubt]):
         if not self.views_kept:
             return
-        if places:
-            now = self._time(one)
-            rows = [
-                ms.Row(
-                    place.address,
-                    place.zone,
-                    place.kind,
-                    place.cell,
-                    place.status,
-                    place.size,
-                    place.boot,
-                    None if place.born is None else max(0.0, now - place.born),
-                )
-                for place in places
-            ]
-            self._give(one, ms.Roster(it.News.UPDATE.value, self.fleets[one].version, rows))
-        for doubt in doubts:
-            self._give(one, ms.Doubted(doubt.address, doubt.ill))
+        for given in gateway_inputs(places, doubts, self.fleets[one].version, self._time(one)):
+            self._give(one, given)
 
     # The roster
 
