--- a/sprucespool/adapter/door.py
+++ b/sprucespool/adapter/door.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
+from typing import Any
 
 from sprucespool import interface as it
 from sprucespool.adapter.wire import OUTCOMES, STATUSES, Fields, Malformed, Settings
@@ -26,7 +28,8 @@
 
     def __init__(self, inference: it.Inference):
         self.inference = inference
-        self.forwards: list[it.Forward] = []
+        # None in place of one that has ended.
+        self.forwards: list[it.Forward | None] = []
         self.out = 0
         self.ended = False
 
@@ -268,7 +271,7 @@
         for ticket, forward in self.leaving:
             if forward is not None:
                 del self.numbers[forward]
-            if ticket.ended and not ticket.out and self.tickets.pop(ticket.inference.name, None):
+            if ticket.ended and not ticket.out and self.tickets.pop(ticket.inference.name, None) is not None:
                 self.settled.append(ticket.inference.name)
         self.leaving.clear()
 
@@ -305,7 +308,7 @@
     return text.replace("\n", " ").replace("\r", " ")
 
 
-WRITERS = {
+WRITERS: dict[type, Callable[[Door, Any], str]] = {
     it.Forward: Door._write_forward,
     it.Shed: Door._write_shed,
     it.Fail: Door._write_fail,
