--- a/benchmarks/whole_controller.py
+++ b/benchmarks/whole_controller.py
@@ -26,7 +26,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "tests"))
 
-from platform_scene import entry, event, hit  # noqa: E402
+from platform_scene import entry, event, hit, lines_of  # noqa: E402
 from platform_world import SETTINGS, asked, configuration  # noqa: E402
 
 USUAL, RATE, MODELS, STEPS = 200, 15.0, 400, 20
@@ -89,12 +89,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         try:
-            while line := await reader.readline():
-                words = line.decode().split()
-                if not words:
-                    continue
-                if words[0] == "exec":
-                    await reader.readexactly(int(words[3]) + 2)
+            async for words in lines_of(reader):
                 if words[0] != "drop":
                     asyncio.get_running_loop().call_later(0.03, writer.write, hit(words[1]))
         except (ConnectionError, asyncio.IncompleteReadError):
--- a/sprucespool/lab/days.py
+++ b/sprucespool/lab/days.py
@@ -19,7 +19,7 @@
 from sprucespool.lab.world import DayWorld
 from sprucespool.policy import Controller
 from sprucespool.standin.script import Day
-from sprucespool.standin.verdicts import facts
+from sprucespool.standin.verdicts import attempts_reached, facts
 
 # After the day's end clients still wait for what they asked.
 AFTER, LOOK = 6_000.0, 500.0
@@ -134,24 +134,7 @@
     told = day.failover
     assert told is not None
     zones = {number: world.zone_of(number) for number in range(world.controllers)}
-    places = {(one.invoker, one.boot): one.zone for one in world.notes if isinstance(one, seen.Booted)}
-    stays = {group.name for group in day.model_groups if group.stay}
-    sent = {one.id: one for one in world.notes if isinstance(one, seen.Sent)}
-    reached, ids = [], set()
-    for one in world.notes:
-        if isinstance(one, seen.Came):
-            reached.append(
-                failover_seen.Reached(
-                    one.t,
-                    f"c{one.controller}",
-                    zones[one.controller],
-                    places[one.invoker, one.boot],
-                    one.work,
-                    sent[one.id].group in stays,
-                    one.id in ids,
-                )
-            )
-            ids.add(one.id)
+    reached = attempts_reached(day, world.notes, zones)
     first = min((trouble.at for trouble in day.troubles), default=day.lasts)
     bounds = failover_seen.FailoverBounds(
         world.topology.regions,
--- a/sprucespool/standin/verdicts.py
+++ b/sprucespool/standin/verdicts.py
@@ -54,14 +54,8 @@
     return verdict if told.view else fleet_seen.FleetVerdict([], None, verdict.late, [], 0)
 
 
-def failover_verdict(
-    day: Day, watch: Watch, begin: float, watched_until: float, found: list[seen.Seen]
-) -> failover_seen.FailoverVerdict | None:
-    """Of the plans of zones; None where the day has none."""
-    told = day.failover
-    if told is None:
-        return None
-    zones = {number: day.zones[number % len(day.zones)] for number in range(day.controllers)}
+def attempts_reached(day: Day, found: list[seen.Seen], zones: dict[int, str]) -> list[failover_seen.Reached]:
+    """Attempts that came to an invoker, with the zones of both sides; `zones` are those of the controllers."""
     places = {(one.invoker, one.boot): one.zone for one in found if isinstance(one, seen.Booted)}
     stays = {group.name for group in day.model_groups if group.stay}
     sent = {one.id: one for one in found if isinstance(one, seen.Sent)}
@@ -80,6 +74,18 @@
                 )
             )
             ids.add(one.id)
+    return reached
+
+
+def failover_verdict(
+    day: Day, watch: Watch, begin: float, watched_until: float, found: list[seen.Seen]
+) -> failover_seen.FailoverVerdict | None:
+    """Of the plans of zones; None where the day has none."""
+    told = day.failover
+    if told is None:
+        return None
+    zones = {number: day.zones[number % len(day.zones)] for number in range(day.controllers)}
+    reached = attempts_reached(day, found, zones)
     first = min((trouble.at for trouble in day.troubles), default=day.lasts) if told.liar < 0 else 0.0
     last = begin + max(
         (
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -4,9 +4,14 @@
 
 import asyncio
 import json
+import os
 import socket
+import subprocess
+import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import NamedTuple
 
 from platform_world import asked, configuration
 
@@ -22,6 +27,25 @@
     return f"{tag} HIT tell=resident {len(body)}\r\n".encode() + body + b"\r\n"
 
 
+async def lines_of(reader: asyncio.StreamReader) -> AsyncIterator[list[str]]:
+    """The words of each line that came whole, a run's with its body."""
+    while line := await reader.readline():
+        words = line.decode().split()
+        if not words:
+            continue
+        if words[0] == "exec":
+            await reader.readexactly(int(words[3]) + 2)
+        yield words
+
+
+class Attempt(NamedTuple):
+    """A run as an invoker got it: when (seconds, monotonic), and what it was told to have left (ms)."""
+
+    tag: str
+    came: float
+    limit: float
+
+
 class InvokerStandIn:
     """Keeps each whole line with the time at which it came; `behave(tag)` gives what it answers to a run, or None."""
 
@@ -64,12 +88,7 @@
         self.connections += 1
         self.writers.append(writer)
         try:
-            while line := await reader.readline():
-                words = line.decode().split()
-                if not words:
-                    continue
-                if words[0] == "exec":
-                    await reader.readexactly(int(words[3]) + 2)
+            async for words in lines_of(reader):
                 self.lines.append((words, time.monotonic()))
                 answer = self.behave(words[1]) if words[0] == "exec" else None
                 if answer:
@@ -85,9 +104,15 @@
     def dropped(self) -> list[str]:
         return [words[1] for words, _ in self.lines if words[0] == "drop"]
 
+    def attempts(self) -> list[Attempt]:
+        return [
+            Attempt(words[1], came, float(dict(part.split("=") for part in words[2].split(","))["limit"]))
+            for words, came in self.lines
+            if words[0] == "exec"
+        ]
+
     def limits(self) -> list[float]:
-        fields = [words[2] for words, _ in self.lines if words[0] == "exec"]
-        return [float(dict(part.split("=") for part in one.split(","))["limit"]) for one in fields]
+        return [one.limit for one in self.attempts()]
 
     def close(self):
         for filler in self.fillers:
@@ -221,6 +246,12 @@
         return found
 
 
+def controller_process(config: Path, **streams) -> subprocess.Popen:
+    """The process that the platform runs, on that configuration."""
+    environment = {**os.environ, "RELAY_CONFIG": str(config)}
+    return subprocess.Popen([sys.executable, "-m", "sprucespool.node"], text=True, env=environment, **streams)
+
+
 class Scene:
     """One controller, its invokers and its command channel."""
 
--- a/tests/test_held_process.py
+++ b/tests/test_held_process.py
@@ -2,17 +2,25 @@
 
 import asyncio
 import json
-import os
 import random
 import signal
-import subprocess
-import sys
 import time
 from dataclasses import dataclass
 
 import pytest
-from platform_scene import ChannelStandIn, InvokerStandIn, RawClient, entry, event, hit, played, until
+from platform_scene import (
+    ChannelStandIn,
+    InvokerStandIn,
+    RawClient,
+    controller_process,
+    entry,
+    event,
+    hit,
+    played,
+    until,
+)
 from platform_world import asked, configuration, frame, settings_of_all_effects
+from troubled_scene import CANCEL_SLACK, DEADLINE_SLACK, DRAIN_GRACE
 
 pytestmark = pytest.mark.sockets
 
@@ -20,8 +28,8 @@
 HOLDS = 4
 INVOKERS = 5
 WAIT = 1_500.0
-# Seconds: the rules' own slacks, and what the machine may hold up a line on its way.
-CANCEL_SLACK, DEADLINE_SLACK, DRAIN_GRACE, MACHINE = 0.1, 0.15, 0.5, 0.1
+# Seconds: what the machine may hold up a line on its way.
+MACHINE = 0.1
 
 
 @dataclass
@@ -62,11 +70,7 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps(told))
         self.errors = open(self.folder / "said", "w+")
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "sprucespool.node"],
-            stderr=self.errors,
-            env={**os.environ, "RELAY_CONFIG": str(path)},
-        )
+        self.process = controller_process(path, stderr=self.errors)
         await until(lambda: self.channel.asked, 10.0)
         self.port = self._port()
         return self
@@ -165,12 +169,11 @@
         by_name = {one.name: one for one in self.requests}
         found, runs = [], dict.fromkeys(by_name, 0)
         for invoker in self.invokers:
-            for words, came in invoker.lines:
-                if words[0] != "exec" or words[1] not in by_name:
+            for tag, came, limit in invoker.attempts():
+                if tag not in by_name:
                     continue
-                request = by_name[words[1]]
+                request = by_name[tag]
                 runs[request.name] += 1
-                limit = float(dict(part.split("=") for part in words[2].split(","))["limit"])
                 left = WAIT / 1000.0 - (came - request.sent)
                 if limit / 1000.0 > left + DEADLINE_SLACK:
                     found.append(f"{request.name}: told {limit:.0f} ms, {1000 * left:.0f} left")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,7 +9,7 @@
 import time
 
 import pytest
-from platform_scene import KEY, entry, played
+from platform_scene import KEY, controller_process, entry, played
 from platform_world import asked, configuration, frame
 
 from sprucespool.node.logs import Log
@@ -345,12 +345,7 @@
 def started(tmp_path, port, **change):
     path = tmp_path / "config.json"
     path.write_text(json.dumps(configuration(listen=f"127.0.0.1:{port}", **change)))
-    return path, subprocess.Popen(
-        [sys.executable, "-m", "sprucespool.node"],
-        stderr=subprocess.PIPE,
-        text=True,
-        env={**os.environ, "RELAY_CONFIG": str(path)},
-    )
+    return path, controller_process(path, stderr=subprocess.PIPE)
 
 
 def test_signals_a_new_channel_by_sighup_a_broken_file_refused_and_a_graceful_end(tmp_path):
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
 import subprocess
-import sys
 import time
 
 import pytest
-from platform_scene import ChannelStandIn, InvokerStandIn, RawClient, entry, hit, played, until
+from platform_scene import ChannelStandIn, InvokerStandIn, RawClient, controller_process, entry, hit, played, until
 from platform_world import asked, configuration
 
 pytestmark = pytest.mark.sockets
@@ -26,12 +24,7 @@
             self.port = free.getsockname()[1]
         self.config = folder / "config.json"
         self.write(channel.port)
-        self.popen = subprocess.Popen(
-            [sys.executable, "-m", "sprucespool.node"],
-            stderr=subprocess.PIPE,
-            text=True,
-            env={**os.environ, "RELAY_CONFIG": str(self.config)},
-        )
+        self.popen = controller_process(self.config, stderr=subprocess.PIPE)
 
     def write(self, channel_port: int):
         known = {"cursor": 1, "cmds": [entry(1, ("s-0", self.invoker.port, "up"), whole=True)]}
@@ -146,11 +139,7 @@
 def test_an_address_that_another_process_still_holds_is_waited_for(tmp_path):
     async def scene(process):
         await process.serving()
-        second = subprocess.Popen(
-            [sys.executable, "-m", "sprucespool.node"],
-            stderr=subprocess.DEVNULL,
-            env={**os.environ, "RELAY_CONFIG": str(process.config)},
-        )
+        second = controller_process(process.config, stderr=subprocess.DEVNULL)
         try:
             await asyncio.sleep(1.0)
             process.popen.kill()
--- a/tests/troubled_scene.py
+++ b/tests/troubled_scene.py
@@ -13,7 +13,7 @@
 from platform_scene import ChannelStandIn, InvokerStandIn, RawClient, Scene, cut_frames, event, hit
 from platform_world import asked, configuration, frame, settings_of_all_effects
 
-EXEC, ANSWER = "exec", 17
+ANSWER = 17
 # Seconds: for what a busy machine holds up on either side; the rules' own slacks.
 MACHINE_SLACK, DEADLINE_SLACK, CANCEL_SLACK = 0.25, 0.15, 0.1
 DRAIN_GRACE = 0.5
@@ -213,10 +213,8 @@
         """By request: when each attempt came, and the time that it was told to have left."""
         begun: dict[str, list[tuple[float, float]]] = {}
         for one in self.invokers:
-            for words, came in one.lines:
-                if words[0] == EXEC:
-                    limit = float(dict(part.split("=") for part in words[2].split(","))["limit"])
-                    begun.setdefault(words[1], []).append((came, limit / 1000.0))
+            for attempt in one.attempts():
+                begun.setdefault(attempt.tag, []).append((attempt.came, attempt.limit / 1000.0))
         return begun
 
     def _of_attempts(self, client: Client, name: str, sent: Sent, attempts: list, answered: float | None) -> list[str]:
