--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -27,6 +27,10 @@
     return f"{tag} HIT tell=resident {len(body)}\r\n".encode() + body + b"\r\n"
 
 
+def turned_away(tag: str) -> bytes:
+    return f"{tag} SHED - 0\r\n\r\n".encode()
+
+
 async def lines_of(reader: asyncio.StreamReader) -> AsyncIterator[list[str]]:
     """The words of each line that came whole, a run's with its body."""
     while line := await reader.readline():
@@ -47,10 +51,15 @@
 
 
 class InvokerStandIn:
-    """Keeps each whole line with the time at which it came; `behave(tag)` gives what it answers to a run, or None."""
+    """Keeps each whole line with the time at which it came; `behave(tag)` gives what it answers to a run, or None.
+
+    One that drains turns runs and orders away and calls itself sick, as the platform's invokers do; it stays up.
+    """
 
     def __init__(self, behave: Callable[[str], bytes | None] = hit, full: bool = False):
         self.behave, self.full = behave, full
+        # When it began to drain (seconds, monotonic); None while it serves.
+        self.drains_since: float | None = None
         self.lines: list[tuple[list[str], float]] = []
         self.writers: list[asyncio.StreamWriter] = []
         self.connections = 0
@@ -90,7 +99,7 @@
         try:
             async for words in lines_of(reader):
                 self.lines.append((words, time.monotonic()))
-                answer = self.behave(words[1]) if words[0] == "exec" else None
+                answer = self._answer(words)
                 if answer:
                     writer.write(answer)
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -98,6 +107,17 @@
         finally:
             writer.close()
 
+    def _answer(self, words: list[str]) -> bytes | None:
+        drains = self.drains_since is not None
+        if words[0] in ("health", "load"):
+            return f"{words[1]} {'SICK' if drains else 'PONG'} - 0\r\n\r\n".encode()
+        if words[0] == "exec":
+            return turned_away(words[1]) if drains else self.behave(words[1])
+        return None
+
+    def drain(self) -> None:
+        self.drains_since = time.monotonic()
+
     def runs(self) -> list[str]:
         return [words[1] for words, _ in self.lines if words[0] == "exec"]
 
--- a/tests/troubled_scene.py
+++ b/tests/troubled_scene.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from platform_scene import ChannelStandIn, InvokerStandIn, RawClient, Scene, cut_frames, event, hit
+from platform_scene import ChannelStandIn, InvokerStandIn, RawClient, Scene, cut_frames, event, hit, turned_away
 from platform_world import asked, configuration, frame, settings_of_all_effects
 
 ANSWER = 17
@@ -126,7 +126,7 @@
             return None
         if place in self.refusing:
             self.missed[tag] += 1
-            return f"{tag} SHED - 0\r\n\r\n".encode()
+            return turned_away(tag)
         return hit(tag)
 
     # The day
