Logs tell how long discovery was not heard, and which invokers turn requests away

Change: 'discovery not heard' and 'heard again' with the time and the last event; one line a second of refusals by invoker; a status line every ten seconds; how forwards ended is counted. A change half told does not count as heard.

--- a/sprucespool/gateway/core.py
+++ b/sprucespool/gateway/core.py
@@ -21,6 +21,15 @@
 FOUND = {found.value: found for found in it.Found}
 STATUSES = {status.value: status for status in it.Status}
 NEWS = {kind.value: kind for kind in it.News}
+# The counts that ends of forwards go into.
+COUNTED = {
+    it.Outcome.FULL: "turned_away",
+    it.Outcome.MISS: "missed",
+    it.Outcome.ERROR: "errors",
+    it.Outcome.RESET: "resets",
+    it.Outcome.UNCONNECTED: "unconnected",
+    it.Outcome.NOT_SENT: "not_sent",
+}
 # Names kept before those that nobody uses are looked for: one-off models would else fill the memory.
 SWEEP_AT, SWEEP_INVOKERS_AT = 4096, 256
 
@@ -46,11 +55,23 @@
     orders: int = 0
     probes: int = 0
     timed_out: int = 0
+    # Forwards by how they ended, where that was neither an answer nor a time-out.
+    turned_away: int = 0
+    missed: int = 0
+    errors: int = 0
+    resets: int = 0
+    unconnected: int = 0
+    not_sent: int = 0
     refused_actions: int = 0
     overdue: int = 0
     module_faults: int = 0
     stale_inputs: int = 0
 
+    def forward_ended(self, outcome: it.Outcome) -> None:
+        name = COUNTED.get(outcome)
+        if name is not None:
+            setattr(self, name, getattr(self, name) + 1)
+
     def as_dict(self) -> dict[str, int]:
         return {f.name: getattr(self, f.name) for f in fields(self)}
 
@@ -295,6 +316,7 @@
         report=None,
     ):
         """The one place where a forward ends, and with it perhaps its call."""
+        self.counts.forward_ended(outcome)
         sent = self.sent.pop(number)
         held, name = sent.held, sent.held.inference.name
         del held.out[number], self._numbers[sent.forward]
--- a/sprucespool/node/channel.py
+++ b/sprucespool/node/channel.py
@@ -42,6 +42,10 @@
         self.watches: list[Wire] = []
         self.task: asyncio.Task | None = None
         self.failures = self.counter = self.connected = 0
+        # When all that discovery had to tell was last heard (ms); None before the first time.
+        self.heard_at: float | None = None
+        self.began = self.now()
+        self.in_touch = True
         # Readings of the next event that failed.
         self.misread = 0
         self.closed = False
@@ -74,6 +78,7 @@
         self.timer = self.loop.call_later(LOOK_EVERY, self._look)
         now = self.now()
         self._end_replaced()
+        self._note_contact(now)
         if self.task is not None or now < self.again_at:
             return
         if not self.watches:
@@ -90,6 +95,22 @@
             if self.watches[place].heard > self.watches[place].opened:
                 return self._end_watches(self.watches[:place], "replaced")
 
+    def unheard_for(self) -> float:
+        """For how long the list may have missed changes (ms)."""
+        return self.now() - (self.began if self.heard_at is None else self.heard_at)
+
+    def _note_contact(self, now: float):
+        times = [wire.link.current_at for wire in self.watches if isinstance(wire.link, FeedLink)]
+        latest = max((at for at in times if at is not None), default=None)
+        if latest is not None and (self.heard_at is None or latest > self.heard_at):
+            unheard, self.heard_at = self.unheard_for(), latest
+            if not self.in_touch:
+                self.in_touch = True
+                self.log.info("discovery heard again", after_ms=round(unheard), last_event=self.roster.last)
+        elif self.in_touch and self.unheard_for() > SILENT:
+            self.in_touch = False
+            self.log.info("discovery not heard", for_ms=round(self.unheard_for()), last_event=self.roster.last)
+
     def _connect(self):
         if not self.closed and self.task is None:
             self.task = self.loop.create_task(self._open())
@@ -104,7 +125,8 @@
             raise
         except (OSError, TimeoutError) as problem:
             self.task = None
-            self.log.info("channel not connected", why=f"{type(problem).__name__}: {problem}")
+            why = f"{type(problem).__name__}: {problem}"
+            self.log.info("channel not connected", why=why, unheard_ms=round(self.unheard_for()))
             return self._later()
         self.task = None
         if wire.lost:
--- a/sprucespool/node/door.py
+++ b/sprucespool/node/door.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from sprucespool import interface as it
 from sprucespool.gateway import Gateway
@@ -16,6 +17,7 @@
 from sprucespool.node.clients import Front, Peer
 from sprucespool.node.invokers import Ask, Invoker
 from sprucespool.node.logs import Log
+from sprucespool.node.reports import Reports
 from sprucespool.relay.configuration import Configuration
 from sprucespool.relay.feed import Roster
 from sprucespool.relay.frames import Request, Terms
@@ -79,8 +81,14 @@
         self.ready = False
         # When the program must have answered all it owes; none while it is not told to end.
         self.until: float | None = None
+        self.reports = Reports(log, self.gateway.counts, self._status, self.turn.now())
+        # For how long discovery was not heard (ms), for the log.
+        self.unheard_for: Callable[[], float] = lambda: 0.0
         self.look = self.loop.call_later(LOOK_EVERY, self._look)
 
+    def _status(self) -> dict[str, Any]:
+        return {"owed": len(self.clients), "invokers": len(self.roster.places), "unheard_ms": round(self.unheard_for())}
+
     def _after(self):
         ended, self.ended = self.ended, []
         for number in ended:
@@ -254,6 +262,8 @@
             return
         self.ended.append(number)
         if isinstance(end, Answer):
+            if end.outcome is it.Outcome.FULL:
+                self.reports.turned_away(out.invoker, out.client.request.id)
             out.body = end.body
             told = self.plan.deployment.tells_same_model and end.outcome in (it.Outcome.RETURNED, it.Outcome.FULL)
             self.turn.tell(
@@ -346,6 +356,7 @@
             if invoker.quiet:
                 invoker.close()
                 del self.leaving[invoker]
+        self.reports.look(self.turn.now())
         late = self.turn.now() - 2 * self.plan.deployment.order_timeout
         for number, ask in list(self.ordered.items()):
             if ask.at < late:
--- a/sprucespool/node/serve.py
+++ b/sprucespool/node/serve.py
@@ -72,6 +72,7 @@
             self.plan.seed,
             self.clock,
         )
+        self.door.unheard_for = self.channel.unheard_for
         return port
 
     def reread(self, tries: int = 0) -> None:
--- a/sprucespool/relay/feed.py
+++ b/sprucespool/relay/feed.py
@@ -57,6 +57,8 @@
         self.number: int | None = None
         self.data: list[bytes] = []
         self.ended = False
+        # When an event or a comment last ended with nothing half told behind it (ms); None before the first.
+        self.current_at: float | None = None
 
     def outgoing(self, data_too: bool = True) -> tuple[bytes, list[Told]]:
         out, self.out = self.out or b"", b""
@@ -77,6 +79,8 @@
                     raise FeedError(f"expected status 200, got {event.status_code}")
                 if isinstance(event, h11.Data):
                     self._lines(bytes(event.data), told)
+                    if not self.rest and self.number is None and not self.data:
+                        self.current_at = now
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     self.ended = True
                     return told
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,67 @@
+"""What the log says of refusals, of discovery that is not heard, and of the counts."""
+
+import asyncio
+
+from platform_scene import Scene, InvokerStandIn, played, turned_away
+from platform_world import asked
+
+from sprucespool.gateway.core import Counts
+from sprucespool.node.logs import Log
+from sprucespool.node.reports import Reports
+
+import pytest
+
+
+class KeptLog(Log):
+    """Keeps each line as its event and facts."""
+
+    def __init__(self):
+        super().__init__("info")
+        self.kept: list[tuple[str, dict]] = []
+
+    def _line(self, level, event, facts):
+        self.kept.append((event, facts))
+
+    def facts(self, event: str) -> list[dict]:
+        return [facts for one, facts in self.kept if one == event]
+
+
+def test_refusals_are_one_line_a_second_by_invoker():
+    log, counts = KeptLog(), Counts(taken=4, turned_away=4)
+    reports = Reports(log, counts, lambda: {"owed": 1}, 0.0)
+    for number in range(3):
+        reports.turned_away("s-1", f"r{number}")
+    reports.look(400.0)
+    reports.turned_away("s-2", "r3")
+    reports.look(1_100.0)
+    reports.look(9_000.0)
+    assert log.kept == [
+        ("turned away by invokers", {"attempts": 4, "invokers": 2, "by": "s-1:3,s-2:1", "last_request": "r3"})
+    ]
+    reports.look(10_000.0)
+    assert log.facts("status") == [{"owed": 1, "counts": '{"taken":4,"turned_away":4}'}]
+
+
+@pytest.mark.sockets
+def test_discovery_that_falls_silent_is_told_once_and_refusals_are_counted():
+    async def scene():
+        async with Scene(InvokerStandIn(turned_away)) as world:
+            log = world.node.log = world.node.channel.log = KeptLog()
+            # A new watch hears nothing either.
+            world.channel.answers = False
+            await asyncio.sleep(1.9)
+            (silence,) = log.facts("discovery not heard")
+            assert 1_600 < silence["for_ms"] < 1_900 and silence["last_event"] == 1
+            world.channel.tell(b"id: 2\ndata: {", watch=0)
+            await asyncio.sleep(0.2)
+            assert not log.facts("discovery heard again")
+            world.channel.tell(b"}\n\n", watch=0)
+            await asyncio.sleep(0.2)
+            (again,) = log.facts("discovery heard again")
+            assert again["after_ms"] > 1_900 and again["last_event"] == 2
+            client = await world.client()
+            client.send(asked(1))
+            assert [code for _, _, code in await client.answers(1)] != [0]
+            assert world.node.door.gateway.counts.turned_away == 1
+
+    played(scene)
