A worker shows that it takes requests before it is sent to while discovery is not heard

Cause: the last list stayed in force without bound (the decisions had no input that told its age), and a refusal was read as a full queue alone; so draining workers were tried again and again through an outage of discovery. Change: the node tells the module each time that discovery has told all (comments count, half an event does not). Once that is two seconds ago, a worker gets new work only within the drain grace after it took something; else a health check goes first and the request waits for it. Who fails it is passed over and what it held struck; too late to write is not written. Load orders follow the same proof. Where probes are not allowed the first refusal bars a worker until discovery is heard.

--- a/sprucespool/gateway/core.py
+++ b/sprucespool/gateway/core.py
@@ -363,6 +363,9 @@
             (self._listed.discard if entry.status is it.Status.GONE else self._listed.add)(entry.invoker.name)
         events.append(it.RosterNews(kind, given.version, entries))
 
+    def _discovery_heard(self, now: float, given: ms.DiscoveryHeard, events: list):
+        events.append(it.DiscoveryHeard(given.age))
+
     def _sweep_invokers(self):
         """Against a fleet whose machines are replaced for months: who left, and has nothing out, is forgotten. One
         that comes back is a newcomer, as a process started afresh is."""
@@ -443,7 +446,9 @@
         self._numbers[action] = number
         self._due(now + time_out, sent, number)
         self.counts.forwards += 1
-        self.port(ms.SendForward(number, name, action.invoker.name, inference.model.name, time_out, attempt))
+        self.port(
+            ms.SendForward(number, name, action.invoker.name, inference.model.name, time_out, attempt, action.write_by)
+        )
 
     def _recall(self, number: int, sent: _Sent):
         self.port(ms.Recall(number, sent.held.inference.name, sent.forward.invoker.name))
@@ -537,6 +542,7 @@
     ms.FirstResult: Gateway._first,
     ms.ForwardEnded: Gateway._forward_ended,
     ms.Roster: Gateway._roster,
+    ms.DiscoveryHeard: Gateway._discovery_heard,
     ms.OrderEnded: Gateway._order_ended,
     ms.ProbeEnded: Gateway._probe_ended,
     ms.PeerMessage: Gateway._peer,
--- a/sprucespool/gateway/messages.py
+++ b/sprucespool/gateway/messages.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 
@@ -85,6 +87,12 @@
     rows: list[Row] = []
 
 
+class DiscoveryHeard(_Input):
+    """All that discovery has to tell was last heard so long ago (ms); None: it is asked, and was not heard yet."""
+
+    age: float | None
+
+
 class OrderEnded(_Input):
     order: int
     outcome: str
@@ -147,6 +155,7 @@
     | FirstResult
     | ForwardEnded
     | Roster
+    | DiscoveryHeard
     | OrderEnded
     | ProbeEnded
     | PeerMessage
@@ -170,6 +179,8 @@
     model: str
     time_out: float
     attempt: int
+    # When it is too late to begin to write it.
+    write_by: float = math.inf
 
 
 class Recall(_Effect):
--- a/sprucespool/interface.py
+++ b/sprucespool/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -166,6 +167,8 @@
     invoker: Invoker
     time_out: float
     belief: Any = None
+    # When it is too late to begin to write it: it ends as not sent then.
+    write_by: float = math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -217,6 +220,14 @@
     entries: list[RosterEntry]
 
 
+@dataclass(slots=True, eq=False)
+class DiscoveryHeard:
+    """All that discovery has to tell was last heard so long ago; None: it is asked, and was not heard yet. Told where
+    a watch stands; where nobody tells of it, the list of invokers counts as current."""
+
+    age: float | None
+
+
 @dataclass(slots=True, eq=False)
 class OrderSettled:
     invoker: Invoker
--- a/sprucespool/node/channel.py
+++ b/sprucespool/node/channel.py
@@ -23,7 +23,7 @@
 
 
 class Channel:
-    """Keeps the roster told: `tell` gets each of its changes."""
+    """Keeps the roster told: `tell` gets each of its changes, `heard` how long ago (ms) nothing was left untold."""
 
     def __init__(
         self,
@@ -31,11 +31,13 @@
         port: int,
         roster: Roster,
         tell: Callable[[ms.Roster], None],
+        heard: Callable[[float], None],
         log: Log,
         seed: int,
         clock: AnchoredClock,
     ):
         self.host, self.port, self.roster, self.tell, self.log, self.seed = host, port, roster, tell, log, seed
+        self.heard = heard
         self.clock = clock
         self.loop = asyncio.get_running_loop()
         # Open watches, the newest last.
@@ -104,6 +106,7 @@
         latest = max((at for at in times if at is not None), default=None)
         if latest is not None and (self.heard_at is None or latest > self.heard_at):
             unheard, self.heard_at = self.unheard_for(), latest
+            self.heard(now - latest)
             if not self.in_touch:
                 self.in_touch = True
                 self.log.info("discovery heard again", after_ms=round(unheard), last_event=self.roster.last)
--- a/sprucespool/node/door.py
+++ b/sprucespool/node/door.py
@@ -21,7 +21,7 @@
 from sprucespool.relay.configuration import Configuration
 from sprucespool.relay.feed import Roster
 from sprucespool.relay.frames import Request, Terms
-from sprucespool.relay.lines import Answer
+from sprucespool.relay.lines import Answer, InvokerLink
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.turn import Turn
 
@@ -103,6 +103,7 @@
         """What the configuration knows of the invokers."""
         for news in self.roster.known(self.plan.cursor, self.plan.commands, self.clock.unix_ms()):
             self.rostered(news)
+        self.discovery_heard(None)
         self.ready = True
 
     def rostered(self, news: ms.Roster) -> None:
@@ -123,6 +124,10 @@
         for invoker in self.leaving:
             invoker.stop_sending()
 
+    def discovery_heard(self, age: float | None) -> None:
+        """So long ago (ms) nothing was left untold; None: not yet since the start."""
+        self.turn.tell(ms.DiscoveryHeard(age))
+
     def invoker(self, name: str) -> Invoker | None:
         place = self.roster.places.get(name)
         if name not in self.invokers:
@@ -247,7 +252,7 @@
         now, dep = self.turn.now(), self.plan.deployment
         deadline = min(now + effect.time_out, client.deadline)
         # Decided so long ago, it might reach an invoker that no longer drops it as a repeat.
-        write_by = now + dep.connect_timeout + dep.answer_slack
+        write_by = min(effect.write_by, now + dep.connect_timeout + dep.answer_slack)
         out.ask = invoker.ask(
             request.id,
             lambda link: link.run(
@@ -314,7 +319,13 @@
             self.log.debug("order", invoker=effect.invoker, model=effect.model, end=outcome.value, standing=standing)
             self.turn.tell(ms.OrderEnded(effect.order, outcome.value, standing))
 
-        self._ask(effect.order, effect.invoker, tag, lambda link: link.order(tag, effect.model, effect.copies), ended)
+        # Like a run: what was allowed so long ago may not be allowed any more.
+        write_by = self.turn.now() + self.plan.deployment.connect_timeout
+
+        def write(link: InvokerLink):
+            link.order(tag, effect.model, effect.copies, write_by)
+
+        self._ask(effect.order, effect.invoker, tag, write, ended)
 
     def _probe(self, effect: ms.SendProbe):
         tag = f"p{effect.probe}"
--- a/sprucespool/node/serve.py
+++ b/sprucespool/node/serve.py
@@ -68,6 +68,7 @@
             self.plan.channel_port,
             self.door.roster,
             self.door.rostered,
+            self.door.discovery_heard,
             self.log,
             self.plan.seed,
             self.clock,
--- a/sprucespool/policy/beliefs.py
+++ b/sprucespool/policy/beliefs.py
@@ -9,6 +9,8 @@
 
 # Own requests in flight to an invoker not yet known.
 FIRST_WINDOW = 4.0
+# Ms before a worker that failed a readiness check is checked again.
+FIRST_RECHECK = 500.0
 # Ms before the first trial of a suspect.
 FIRST_TRIAL = 1000.0
 
@@ -48,6 +50,11 @@
         # Of the slow start: what it may be sent now, None while that was never asked.
         self.grant: float | None = None
         self.granted_at, self.window, self.broken_at = now, FIRST_WINDOW, 0.0
+        # Readiness: when the last thing that it took was sent, when it last turned one away, until when it is not
+        # checked again and the pause after that, the check that is out.
+        self.ready_at = self.turned_away_at = -math.inf
+        self.unready_until, self.recheck_gap = 0.0, FIRST_RECHECK
+        self.check: ReadinessCheck | None = None
 
     @property
     def size(self) -> float:
@@ -71,6 +78,14 @@
     return worker.zone in (request.zones if request.forwards else request.zones[:1])
 
 
+class ReadinessCheck:
+    """A health check that is out, with the requests that wait for its end."""
+
+    def __init__(self, worker: Worker):
+        self.worker = worker
+        self.waiting: dict[Inference, None] = {}
+
+
 class OwnLoad:
     """A load this controller has set going, with the inferences that wait here until it stands."""
 
@@ -117,3 +132,4 @@
         self.out: dict[Forward, None] = {}
         self.tried: list[Worker] = []
         self.load: OwnLoad | None = None
+        self.check: ReadinessCheck | None = None
--- a/sprucespool/policy/controller.py
+++ b/sprucespool/policy/controller.py
@@ -19,6 +19,7 @@
     CallOff,
     Departed,
     Deployment,
+    DiscoveryHeard,
     Doubted,
     Effect,
     Ended,
@@ -26,12 +27,15 @@
     Forward,
     Found,
     Inference,
+    Log,
     Model,
     ModelGroup,
     News,
     Order,
     OrderSettled,
     Outcome,
+    Probe,
+    Probed,
     RosterNews,
     Scope,
     SetTimer,
@@ -49,6 +53,7 @@
     AttemptBelief,
     ModelBelief,
     OwnLoad,
+    ReadinessCheck,
     RequestBelief,
     RunningMean,
     Worker,
@@ -57,6 +62,7 @@
 from sprucespool.policy.chance import Chance
 from sprucespool.policy.order_ration import OrderRation
 from sprucespool.policy.own_traffic import OwnTraffic
+from sprucespool.policy.readiness import Readiness
 from sprucespool.policy.retry_rules import RetryRules
 from sprucespool.policy.shared_order import PRIME, WHOLE, Fleet, SharedOrder, salt_of
 from sprucespool.policy.slow_start import SlowStart
@@ -92,6 +98,7 @@
         self.deployment = deployment
         self.chance, self.rules, self.traffic = Chance(seed), RetryRules(deployment), OwnTraffic(deployment)
         self.slow_start, self.tenant_shares = SlowStart(deployment, self.chance), TenantShares()
+        self.readiness, self.list_current = Readiness(deployment), True
         self.index = WorkerIndex(STEP if deployment.controllers > 1 else 1)
         self.salt = salt_of(f"controller {deployment.own_number}")
         # Controllers that are there, and by how many what they share is to be divided for this one.
@@ -107,7 +114,7 @@
         # Those of which something changes with time: the pulse looks at no others.
         self.active: dict[Worker, None] = {}
         # What is due, by time: a request's end, a load given up on, or the list of workers (None) to be asked for.
-        self.dues: list[tuple[float, int, Inference | OwnLoad | None]] = []
+        self.dues: list[tuple[float, int, Inference | OwnLoad | ReadinessCheck | None]] = []
         self.fleet: Fleet[Worker] = Fleet()
         # Workers that may be suspects; models by the time at which something of theirs must be looked at.
         self.ill: dict[Worker, None] = {}
@@ -130,6 +137,8 @@
             OrderSettled: self._settled,
             TimerDue: self._timer,
             RosterNews: self._roster,
+            DiscoveryHeard: self._discovery_heard,
+            Probed: self._probed,
             Told: self._told,
             BeliefsAsked: self._give,
             Sharing: self._sharing,
@@ -195,6 +204,9 @@
         # When all are known: what one held must not be ordered on another that left with it.
         for worker in gone:
             self._strike(worker)
+        for worker in gone:
+            if worker.check is not None:
+                self._check_over(worker.check)
 
     def _count_in(self, worker: Worker, times: int):
         """Add the invoker to what is known of all in service, or take it out (-1)."""
@@ -249,6 +261,8 @@
             return
         self._unhold(request, mind)
         self.parked.pop(request, None)
+        if mind.check is not None:
+            mind.check.waiting.pop(request, None)
         if self.deployment.may_call_off:
             self.actions += [CallOff(forward) for forward in mind.out if forward is not keep]
 
@@ -264,6 +278,8 @@
 
     def _place(self, request: Inference):
         mind, mdl = request.belief, request.model.belief
+        if mind.check is not None:
+            return
         if not self._may_repeat(request):
             return None if mind.out else self._finish(request)
         ill, thin = [worker for worker in self.workers if worker.suspect] if self.ill else [], self._thin()
@@ -307,6 +323,7 @@
                 and worker not in past
                 and (request.zones is None or open_to(request, worker))
                 and worker.unfit_until <= now
+                and not self.readiness.is_barred(worker, now)
                 and worker.work + mind.luck < worker.window * part
                 and (anywhere and worker.warm_at <= now or self._may_forward(request, worker))
             )
@@ -352,10 +369,9 @@
             load = mdl.loads.get(best)
             self._hold(request, load) if load and load.ordered else self._forward(request, best)
         elif bare:
-            if self.deployment.loads_on_miss:
-                self.loads[OwnLoad(mdl, bare, False)] = None
-            self._forward(request, bare)
-        return bool(request.belief.out or request.belief.load)
+            self._forward_bare(request, bare)
+        belief = request.belief
+        return bool(belief.out or belief.load or belief.check)
 
     def _file(self, worker: Worker):
         self.index.file(worker, self._cold(worker))
@@ -424,12 +440,22 @@
         slo, usual = request.group.slo_time, self.usual[request.group]
         return self.now - request.belief.arrived > min(HELD * slo, slo - usual.mean - usual.spread)
 
-    def _forward(self, request: Inference, worker: Worker):
-        """The one gate through which every forward passes."""
+    def _forward_bare(self, request: Inference, worker: Worker):
+        """To a worker without the model: the attempt begins a load there."""
+        if self._forward(request, worker) and self.deployment.loads_on_miss:
+            self.loads[OwnLoad(request.model.belief, worker, False)] = None
+
+    def _forward(self, request: Inference, worker: Worker) -> bool:
+        """The one gate through which every forward passes. False where the request waits for the worker's check."""
         mind, mdl = request.belief, request.model.belief
         if not self._may_repeat(request) or not self._may_forward(request, worker):
             raise AssertionError("a forward that the rules forbid")
-        forward = Forward(request, worker.entry.invoker, mind.until - self.now)
+        if self.readiness.needs_check(worker, self.now):
+            # Against a drain that discovery cannot tell while it is out of reach: the old list proves nothing.
+            self._check(request, worker)
+            return False
+        write_by = self.readiness.write_by(worker, self.now)
+        forward = Forward(request, worker.entry.invoker, mind.until - self.now, write_by=write_by)
         cold = worker not in mdl.warm or worker in mdl.told
         forward.belief = AttemptBelief(worker, self.now, cold)
         request.forwards.append(forward)
@@ -442,6 +468,70 @@
             self.slow_start.attempt_sent(worker, self.usual[request.group].mean)
         self._file(worker)
         self.actions.append(forward)
+        return True
+
+    # Readiness, while the list of workers may be out of date
+
+    def _discovery_heard(self, event: DiscoveryHeard):
+        self.readiness.discovery_heard(event.age, self.now)
+        self._note_list()
+
+    def _note_list(self):
+        current = self.readiness.is_list_current(self.now)
+        if current != self.list_current:
+            self.list_current = current
+            text = "current again" if current else "not current: workers are checked before they are sent to"
+            self.actions.append(Log(f"list of workers {text}"))
+
+    def _check(self, request: Inference, worker: Worker):
+        check = self.readiness.wait(worker, request, self.now)
+        if check is not None:
+            self.actions.append(Probe(worker.entry.invoker))
+            self._due(self.now + self.readiness.patience, check)
+
+    def _probed(self, event: Probed):
+        worker = event.invoker.belief
+        if worker is None:
+            return
+        if event.outcome is Outcome.RETURNED:
+            self.readiness.check_passed(worker, self.now - event.elapsed)
+        else:
+            self._check_failed(worker, event.outcome)
+        if worker.check is not None:
+            self._check_over(worker.check)
+
+    def _check_failed(self, worker: Worker, outcome: Outcome):
+        """Against one that drains, or has gone, unheard of: what it held is taken for lost."""
+        self.actions.append(Log(f"worker {worker.entry.invoker.name} failed its readiness check: {outcome.value}"))
+        self.readiness.check_failed(worker, self.now)
+        if outcome is Outcome.UNCONNECTED:
+            self._doubt(worker)
+        if outcome in (Outcome.UNCONNECTED, Outcome.ERROR):
+            self._strike(worker)
+
+    def _check_over(self, check: ReadinessCheck):
+        """Requests that waited for it are sent to the worker now, or placed anew."""
+        worker = check.worker
+        for request in self.readiness.release(check):
+            if not self._still_fits(request, worker):
+                self._place(request)
+            elif worker in request.model.belief.warm or worker in request.model.belief.loads:
+                self._forward(request, worker)
+            else:
+                self._forward_bare(request, worker)
+
+    def _still_fits(self, request: Inference, worker: Worker) -> bool:
+        return (
+            not self.readiness.needs_check(worker, self.now)
+            and worker.work + request.belief.luck < worker.window
+            and self._may_repeat(request)
+            and self._may_forward(request, worker)
+        )
+
+    def _check_late(self, check: ReadinessCheck):
+        if check.worker.check is check:
+            self._check_failed(check.worker, Outcome.TIMED_OUT)
+            self._check_over(check)
 
     # Loads
 
@@ -548,6 +638,7 @@
         if (
             not worker.serving
             or worker.full_until > self.now
+            or self.readiness.is_barred(worker, self.now)
             or request.zones is not None
             and not open_to(request, worker)
         ):
@@ -557,7 +648,12 @@
         return not self._cold(worker) or self._cold_room(worker, self.usual[request.group].mean)
 
     def _may_order(self, worker: Worker) -> bool:
-        return self.deployment.may_order and worker.serving and self.ration.allows_order(self.now)
+        return (
+            self.deployment.may_order
+            and worker.serving
+            and self.readiness.may_order(worker, self.now)
+            and self.ration.allows_order(self.now)
+        )
 
     def _cold(self, worker: Worker) -> bool:
         return self.slow_start.is_cold(worker, self.now)
@@ -580,6 +676,10 @@
             del mdl.busy[worker]
             if worker in mdl.loads and not mdl.loads[worker].ordered:
                 self._over(mdl.loads[worker])
+        if outcome is Outcome.FULL:
+            self.readiness.turned_away(worker, now)
+        elif outcome in (Outcome.RETURNED, Outcome.MISS):
+            self.readiness.took_request(worker, sent.at)
         if outcome in (Outcome.RETURNED, Outcome.ERROR, Outcome.FULL, Outcome.MISS):
             worker.heard = now
         elif outcome is Outcome.TIMED_OUT and not sent.cold and self._had_time(sent, request.group):
@@ -616,7 +716,7 @@
             self._close(request)
         elif now >= mind.until:
             self._finish(request)
-        elif outcome is Outcome.MISS and not event.load_failed and not mind.load:
+        elif outcome is Outcome.MISS and not event.load_failed and not mind.load and not mind.check:
             self._missed(request, mdl, worker)
         elif not mind.load and request not in self.parked:
             self._place(request)
@@ -747,6 +847,7 @@
 
     def _pulse(self):
         self.actions.append(SetTimer(PULSE_EVERY, PULSE))
+        self._note_list()
         thin = self._thin()
         if len(self.workers) > WHOLE:
             self._file_known()
@@ -790,7 +891,7 @@
         elif self.deployment.may_call_off and request.group.effect is not Effect.NON_RETRIABLE:
             self.actions.append(CallOff(forward))
 
-    def _due(self, at: float, what: Inference | OwnLoad | None):
+    def _due(self, at: float, what: Inference | OwnLoad | ReadinessCheck | None):
         heapq.heappush(self.dues, (at, self.chance.take(), what))
 
     def _timer(self, event: TimerDue):
@@ -803,6 +904,8 @@
                 self.actions.append(Subscribe(True))
             elif isinstance(what, Inference) and what.belief:
                 self._finish(what)
+            elif isinstance(what, ReadinessCheck):
+                self._check_late(what)
             elif what in self.loads:
                 self._doubt(what.worker)
                 self._abandon(what)
--- a/sprucespool/relay/lines.py
+++ b/sprucespool/relay/lines.py
@@ -86,11 +86,13 @@
     write_by: float = math.inf
 
     def written(self, now: float) -> bytes | None:
-        """None where nobody waits for the answer any more."""
+        """None where nobody waits for the answer any more, or where it is too late for the line."""
+        if now > self.write_by:
+            return None
         if self.deadline is None:
             return self.before
         left = self.deadline - now
-        if left <= 0 or now > self.write_by:
+        if left <= 0:
             return None
         return b"%b%d%b" % (self.before, max(1, int(left)), self.after)
 
@@ -139,8 +141,8 @@
         after = b"%b %d\r\n%b\r\n" % (nonce.encode(), len(body), body)
         self._ask(RUN, tag, _Line(before.encode(), after, deadline, write_by))
 
-    def order(self, tag: str, model: str, copies: int) -> None:
-        self._ask(ORDER, tag, _Line(f"ensure {tag} item={model},n={copies}\r\n".encode()))
+    def order(self, tag: str, model: str, copies: int, write_by: float = math.inf) -> None:
+        self._ask(ORDER, tag, _Line(f"ensure {tag} item={model},n={copies}\r\n".encode(), write_by=write_by))
 
     def probe(self, tag: str, load: bool) -> None:
         self._ask(PROBE, tag, _Line(f"{'load' if load else 'health'} {tag}\r\n".encode()))
--- a/sprucespool/transport/turn.py
+++ b/sprucespool/transport/turn.py
@@ -10,8 +10,8 @@
 
 # Against sending to an endpoint that drains, or for a client that left, because of the order in which sockets were
 # read: of what came in one turn, changes of the fleet count first, then clients that left.
-FIRST_INPUTS: dict[type, int] = {ms.Roster: 0, ms.Left: 1}
-OTHER_INPUTS = 2
+FIRST_INPUTS: dict[type, int] = {ms.Roster: 0, ms.DiscoveryHeard: 1, ms.Left: 2}
+OTHER_INPUTS = 3
 
 
 class Turn:
