A worker that comes back unheard of during an outage of discovery starts slowly

Cause: the same mistake for starts: the old list says that a worker is warm, so one that was restarted while discovery could not tell got its full part of the traffic, though its start counts as told. Change: while the list is not current, a worker that ended all connections, refused one or called itself sick counts as one that started when it came back; the list's word ends that. The node tells when an invoker ended the last connection to it.

--- a/sprucespool/gateway/core.py
+++ b/sprucespool/gateway/core.py
@@ -366,6 +366,11 @@
     def _discovery_heard(self, now: float, given: ms.DiscoveryHeard, events: list):
         events.append(it.DiscoveryHeard(given.age))
 
+    def _disconnected(self, now: float, given: ms.Disconnected, events: list):
+        invoker = self.invokers.get(given.invoker)
+        if invoker is not None:
+            events.append(it.Disconnected(invoker))
+
     def _sweep_invokers(self):
         """Against a fleet whose machines are replaced for months: who left, and has nothing out, is forgotten. One
         that comes back is a newcomer, as a process started afresh is."""
@@ -543,6 +548,7 @@
     ms.ForwardEnded: Gateway._forward_ended,
     ms.Roster: Gateway._roster,
     ms.DiscoveryHeard: Gateway._discovery_heard,
+    ms.Disconnected: Gateway._disconnected,
     ms.OrderEnded: Gateway._order_ended,
     ms.ProbeEnded: Gateway._probe_ended,
     ms.PeerMessage: Gateway._peer,
--- a/sprucespool/gateway/messages.py
+++ b/sprucespool/gateway/messages.py
@@ -93,6 +93,12 @@
     age: float | None
 
 
+class Disconnected(_Input):
+    """The invoker ended the last connection to it."""
+
+    invoker: str
+
+
 class OrderEnded(_Input):
     order: int
     outcome: str
@@ -156,6 +162,7 @@
     | ForwardEnded
     | Roster
     | DiscoveryHeard
+    | Disconnected
     | OrderEnded
     | ProbeEnded
     | PeerMessage
--- a/sprucespool/interface.py
+++ b/sprucespool/interface.py
@@ -228,6 +228,13 @@
     age: float | None
 
 
+@dataclass(slots=True, eq=False)
+class Disconnected:
+    """The invoker ended the last connection to it: what answers there next may be another process."""
+
+    invoker: Invoker
+
+
 @dataclass(slots=True, eq=False)
 class OrderSettled:
     invoker: Invoker
--- a/sprucespool/node/door.py
+++ b/sprucespool/node/door.py
@@ -147,6 +147,7 @@
                 self.plan.streams,
                 self.plan.seed + 7919 * self.numbers,
                 lambda what, why: self.log.debug(what, invoker=name, why=why),
+                lambda: self.turn.tell(ms.Disconnected(name)),
                 self.turn.pace,
             )
         return self.invokers[name]
--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -118,6 +118,8 @@
 
     def _lost(self, wire: Wire, why: str):
         self.invoker.drop(self)
+        if not self.invoker.conns and not wire.ended_here:
+            self.invoker.disconnected()
         asks, self.asks = list(self.asks.values()), {}
         if asks:
             self.invoker.told("connection lost", f"{why}, {len(asks)} open on it")
@@ -136,10 +138,13 @@
         streams: int,
         seed: int,
         told: Callable[[str, str], None],
+        disconnected: Callable[[], None],
         pace: LoopPace,
     ):
         super().__init__(place.host, place.port, limits, seed, pace)
         self.place, self.streams, self.told = place, streams, told
+        # Called when the invoker ended the last connection.
+        self.disconnected = disconnected
         # False while it drains, and once it has left: nothing new is written to it.
         self.accepting = True
 
--- a/sprucespool/policy/beliefs.py
+++ b/sprucespool/policy/beliefs.py
@@ -55,6 +55,9 @@
         self.ready_at = self.turned_away_at = -math.inf
         self.unready_until, self.recheck_gap = 0.0, FIRST_RECHECK
         self.check: ReadinessCheck | None = None
+        # Whether its process may have ended since the last check that it passed; when that, or the end of such a time,
+        # was last seen.
+        self.perhaps_ended, self.restart_seen_at = False, -math.inf
 
     @property
     def size(self) -> float:
--- a/sprucespool/policy/controller.py
+++ b/sprucespool/policy/controller.py
@@ -19,6 +19,7 @@
     CallOff,
     Departed,
     Deployment,
+    Disconnected,
     DiscoveryHeard,
     Doubted,
     Effect,
@@ -97,8 +98,9 @@
     def __init__(self, deployment: Deployment, seed: int):
         self.deployment = deployment
         self.chance, self.rules, self.traffic = Chance(seed), RetryRules(deployment), OwnTraffic(deployment)
-        self.slow_start, self.tenant_shares = SlowStart(deployment, self.chance), TenantShares()
         self.readiness, self.list_current = Readiness(deployment), True
+        self.slow_start = SlowStart(deployment, self.chance, self.readiness)
+        self.tenant_shares = TenantShares()
         self.index = WorkerIndex(STEP if deployment.controllers > 1 else 1)
         self.salt = salt_of(f"controller {deployment.own_number}")
         # Controllers that are there, and by how many what they share is to be divided for this one.
@@ -138,6 +140,7 @@
             TimerDue: self._timer,
             RosterNews: self._roster,
             DiscoveryHeard: self._discovery_heard,
+            Disconnected: self._disconnected,
             Probed: self._probed,
             Told: self._told,
             BeliefsAsked: self._give,
@@ -325,7 +328,7 @@
                 and worker.unfit_until <= now
                 and not self.readiness.is_barred(worker, now)
                 and worker.work + mind.luck < worker.window * part
-                and (anywhere and worker.warm_at <= now or self._may_forward(request, worker))
+                and (anywhere and not self._cold(worker) or self._may_forward(request, worker))
             )
 
         # Those tried before only where nothing else has room.
@@ -483,6 +486,10 @@
             text = "current again" if current else "not current: workers are checked before they are sent to"
             self.actions.append(Log(f"list of workers {text}"))
 
+    def _disconnected(self, event: Disconnected):
+        if event.invoker.belief is not None:
+            self.readiness.process_ended(event.invoker.belief, self.now)
+
     def _check(self, request: Inference, worker: Worker):
         check = self.readiness.wait(worker, request, self.now)
         if check is not None:
@@ -494,7 +501,7 @@
         if worker is None:
             return
         if event.outcome is Outcome.RETURNED:
-            self.readiness.check_passed(worker, self.now - event.elapsed)
+            self.readiness.check_passed(worker, self.now - event.elapsed, self.now)
         else:
             self._check_failed(worker, event.outcome)
         if worker.check is not None:
@@ -503,7 +510,7 @@
     def _check_failed(self, worker: Worker, outcome: Outcome):
         """Against one that drains, or has gone, unheard of: what it held is taken for lost."""
         self.actions.append(Log(f"worker {worker.entry.invoker.name} failed its readiness check: {outcome.value}"))
-        self.readiness.check_failed(worker, self.now)
+        self.readiness.check_failed(worker, outcome, self.now)
         if outcome is Outcome.UNCONNECTED:
             self._doubt(worker)
         if outcome in (Outcome.UNCONNECTED, Outcome.ERROR):
@@ -676,7 +683,9 @@
             del mdl.busy[worker]
             if worker in mdl.loads and not mdl.loads[worker].ordered:
                 self._over(mdl.loads[worker])
-        if outcome is Outcome.FULL:
+        if outcome is Outcome.UNCONNECTED:
+            self.readiness.process_ended(worker, now)
+        elif outcome is Outcome.FULL:
             self.readiness.turned_away(worker, now)
         elif outcome in (Outcome.RETURNED, Outcome.MISS):
             self.readiness.took_request(worker, sent.at)
--- a/sprucespool/policy/readiness.py
+++ b/sprucespool/policy/readiness.py
@@ -3,13 +3,14 @@
 While discovery is out of reach its last list stays in force, but drains that it would have told of count as told. A
 worker that drains turns requests away and fails health checks, so before an attempt is sent it must have shown, within
 the drain grace, that it takes requests: by an answer of its own, or by a health check made for the purpose.
+A worker that may have been restarted meanwhile, as nobody could tell, is taken for one that just started.
 """
 
 from __future__ import annotations
 
 import math
 
-from sprucespool.interface import Deployment, Inference
+from sprucespool.interface import Deployment, Inference, Outcome
 from sprucespool.policy.beliefs import FIRST_RECHECK, ReadinessCheck, Worker
 
 # Times in milliseconds. A change that discovery could not tell counts as told two seconds after a break at the soonest.
@@ -18,6 +19,8 @@
 PROOF_PART = 0.8
 # The least time that a health check is waited for.
 LEAST_PATIENCE = 100.0
+# Ends of a check that the end of a process, or a drain before it, explains.
+PERHAPS_ENDED = (Outcome.ERROR, Outcome.UNCONNECTED, Outcome.RESET)
 # The longest pause before a worker that failed its check is checked again: each is twice the one before.
 LAST_RECHECK = 4_000.0
 
@@ -31,12 +34,13 @@
         self.patience = max(LEAST_PATIENCE, deployment.connect_timeout)
         # An order is written by so long after it is decided, or not at all.
         self.written_within = deployment.connect_timeout
-        # Until when the list is current: for ever where nobody watches discovery.
-        self._current_until = math.inf
+        # Until when the list is current (for ever where nobody watches discovery), and when it was known to be right.
+        self._current_until, self._list_at = math.inf, -math.inf
 
     def discovery_heard(self, age: float | None, now: float) -> None:
         """All that it has to tell was heard so long ago; None: it is asked and was not heard yet."""
         self._current_until = now - age + LIST_TRUSTED_FOR if age is not None else -math.inf
+        self._list_at = now - (age or 0.0)
 
     def is_list_current(self, now: float) -> bool:
         return now < self._current_until
@@ -48,7 +52,7 @@
         if self.may_check:
             return now < worker.unready_until
         # Nothing but requests can show that it drains: the first one that is turned away does.
-        return worker.turned_away_at > self._current_until - LIST_TRUSTED_FOR
+        return worker.turned_away_at >= self._list_at
 
     def needs_check(self, worker: Worker, now: float) -> bool:
         """Whether nothing but a check allows anything new to be sent to it."""
@@ -83,11 +87,26 @@
         request.belief.check = worker.check
         return begun
 
-    def check_passed(self, worker: Worker, asked_at: float) -> None:
+    def restarted_at(self, worker: Worker, now: float) -> float:
+        """When a process of it may have started that the list does not tell of; long ago where none is suspected."""
+        if self.is_list_current(now) or worker.restart_seen_at < self._list_at:
+            return -math.inf
+        return worker.restart_seen_at
+
+    def process_ended(self, worker: Worker, now: float) -> None:
+        """Its process may have ended: whatever answers next may have just started."""
+        worker.perhaps_ended, worker.restart_seen_at = True, now
+
+    def check_passed(self, worker: Worker, asked_at: float, now: float) -> None:
+        if worker.perhaps_ended and worker.restart_seen_at >= self._list_at:
+            worker.restart_seen_at = now
+        worker.perhaps_ended = False
         worker.ready_at = max(worker.ready_at, asked_at)
         worker.unready_until, worker.recheck_gap = 0.0, FIRST_RECHECK
 
-    def check_failed(self, worker: Worker, now: float) -> None:
+    def check_failed(self, worker: Worker, outcome: Outcome, now: float) -> None:
+        if outcome in PERHAPS_ENDED:
+            self.process_ended(worker, now)
         worker.ready_at = -math.inf
         worker.unready_until = now + worker.recheck_gap
         worker.recheck_gap = min(2 * worker.recheck_gap, LAST_RECHECK)
--- a/sprucespool/policy/slow_start.py
+++ b/sprucespool/policy/slow_start.py
@@ -7,6 +7,7 @@
 from sprucespool.interface import Deployment
 from sprucespool.policy.beliefs import Worker
 from sprucespool.policy.chance import Chance
+from sprucespool.policy.readiness import Readiness
 
 # The part of the budget that is used, as arrivals bunch.
 CAUTION = 0.4
@@ -17,8 +18,8 @@
 class SlowStart:
     """Goes by what warm workers of the same kind and zone carry for this controller. Times are milliseconds."""
 
-    def __init__(self, deployment: Deployment, chance: Chance):
-        self.deployment, self.chance = deployment, chance
+    def __init__(self, deployment: Deployment, chance: Chance, readiness: Readiness):
+        self.deployment, self.chance, self.readiness = deployment, chance, readiness
         # Work carried a millisecond by a warm worker, by kind and zone; for a kind of which none is warm in the zone.
         self.rates: dict[tuple[str, str], float] = {}
         self.even_rate = 0.0
@@ -26,7 +27,7 @@
         self._averaged = 0.0
 
     def is_cold(self, worker: Worker, now: float) -> bool:
-        return now < worker.warm_at
+        return now < worker.warm_at or now < self.readiness.restarted_at(worker, now) + self.deployment.warm_after
 
     def has_room(self, worker: Worker, weight: float, now: float, sharers: float) -> bool:
         """Whether an attempt of that weight may go to the cold worker.
@@ -35,7 +36,8 @@
         worker over.
         """
         deployment = self.deployment
-        age = max(0.0, now - deployment.fall_window - worker.started)
+        started = max(worker.started, self.readiness.restarted_at(worker, now))
+        age = max(0.0, now - deployment.fall_window - started)
         share = deployment.cold_share + (1 - deployment.cold_share) * age / deployment.warm_after
         rate = CAUTION * deployment.fall_multiple * share * min(1.0, deployment.controllers / sharers)
         rate *= self.rates.get((worker.kind, worker.zone), self.even_rate)
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -50,6 +50,8 @@
         self.paused, self.scheduled, self.lost = False, False, False
         self.opened = self.heard = self.loop.time() * 1000.0
         self.why = ""
+        # Whether it was ended from this side.
+        self.ended_here = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -139,7 +141,7 @@
         """Write what is left to say and close; `at_once` drops it."""
         if self.lost:
             return
-        self.why = why
+        self.why, self.ended_here = why, True
         if self.transport is not None:
             if at_once:
                 self.transport.abort()
--- a/tests/test_discovery_outage.py
+++ b/tests/test_discovery_outage.py
@@ -18,10 +18,12 @@
 from dataclasses import dataclass
 
 import pytest
-from platform_scene import InvokerStandIn, RawClient, controller_process, cut_frames, entry, hit, played, until
+from platform_scene import InvokerStandIn, RawClient, Scene, controller_process, cut_frames, entry, hit, played, until
 from platform_world import asked, configuration
 from troubled_scene import Client, ReplayingChannel, Sent
 
+from sprucespool.gateway import messages as ms
+
 pytestmark = pytest.mark.sockets
 
 ANSWER, SERVED = 17, 0
@@ -254,3 +256,24 @@
             assert world.served_share(mended_at, time.monotonic()) > 0.9
 
     played(scene)
+
+
+def test_an_invoker_that_ends_all_connections_is_told_of_and_idle_ones_that_close_here_are_not():
+    """What a process that comes back unheard of is known by."""
+
+    async def scene():
+        async with Scene(InvokerStandIn(hit)) as world:
+            told = []
+            take = world.node.door.turn.take
+            world.node.door.turn.take = lambda now, inputs: (told.extend(inputs), take(now, inputs))
+            await world.warmed()
+            world.node.door.invokers["s-0"].close_idle()
+            await asyncio.sleep(0.1)
+            assert not [given for given in told if isinstance(given, ms.Disconnected)]
+            client = await world.client()
+            client.send(asked(2, id="e" * 16))
+            assert await client.answers(1) == [(ANSWER, 2, SERVED)]
+            world.invokers[0].writers[-1].transport.abort()
+            await until(lambda: [given for given in told if isinstance(given, ms.Disconnected)])
+
+    played(scene)
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -152,6 +152,61 @@
     assert of_kind(run.arrive()[1], it.Forward)
 
 
+RESTARTS = {
+    "ended all connections": lambda run, worker: run.tell(it.Disconnected(worker)),
+    "refused a connection": lambda run, worker: run.tell(it.Probed(worker, it.Outcome.UNCONNECTED, 1.0, {})),
+    "called itself sick": lambda run, worker: run.tell(it.Probed(worker, SICK, 1.0, {})),
+}
+
+
+def sent_to(run, invoker, span, gap):
+    """How many requests go to the invoker, of one each `gap` ms; all are answered after 50 ms."""
+    until, sent, answers = run.now + span, 0, []
+
+    def act(actions):
+        nonlocal sent
+        for probe in of_kind(actions, it.Probe):
+            act(run.tell(it.Probed(probe.invoker, RETURNED, 1.0, {})))
+        for forward in of_kind(actions, it.Forward):
+            sent += forward.invoker is invoker and run.now < until
+            answers.append((run.now + 50.0, forward))
+
+    while run.now < until or answers:
+        act(run.wait(gap))
+        while answers and answers[0][0] <= run.now:
+            act(run.end(answers.pop(0)[1]))
+        if run.now < until:
+            act(run.arrive(model=f"m{len(run.arrival_times) % 4}", lanes=4)[1])
+    return sent
+
+
+@pytest.mark.parametrize("how", [None, *RESTARTS])
+def test_a_worker_that_came_back_unheard_of_is_sent_to_as_one_that_just_started(how):
+    run = world("w1", heard=0.0)
+    returning = run.invokers["w1"]
+    sent_to(run, returning, 6_000.0, 10.0)
+    usual = sent_to(run, returning, run.dep.fall_window, 10.0)
+    if how:
+        RESTARTS[how](run, returning)
+    run.now += 600.0
+    sent = sent_to(run, returning, run.dep.fall_window, 10.0)
+    allowed = run.dep.fall_multiple * run.dep.cold_share * usual
+    assert (0 < sent <= allowed / 2) if how else (sent > allowed)
+    # Once the list is heard it tells of restarts itself.
+    run.tell(it.DiscoveryHeard(0.0))
+    assert sent_to(run, returning, 3 * run.dep.fall_window, 10.0) > 1.5 * allowed
+
+
+def test_an_end_of_all_connections_before_the_list_was_last_heard_is_no_restart():
+    run = world("w1", heard=0.0)
+    returning = run.invokers["w1"]
+    run.tell(it.Disconnected(returning))
+    run.now += 10.0
+    run.tell(it.DiscoveryHeard(0.0))
+    run.wait(5_000.0)
+    assert sent_to(run, returning, 3_000.0, 20.0) > 120
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_hidden_drains_are_met_by_nothing_new_past_the_grace(seed):
     """A fleet with drains that no list tells: each forward and order is held against what really drains."""
