Readiness: an end of connections alone is checked at once, and a refusal outweighs older answers

Cause: most ends of connections are no ends of processes, and would have halved a worker's part for the rest of an outage; an answer to what was sent before a refusal could have counted as a later sign; where health checks are served like requests, 250 ms were too short for them. Change: after an end of all connections a check goes at once, and one that passes within 100 ms clears the worker; signs older than a refusal count for nothing; a check is waited for 0.4 of the drain grace. Refusals by time-out lengthen no pause.

--- a/sprucespool/policy/controller.py
+++ b/sprucespool/policy/controller.py
@@ -455,7 +455,7 @@
             raise AssertionError("a forward that the rules forbid")
         if self.readiness.needs_check(worker, self.now):
             # Against a drain that discovery cannot tell while it is out of reach: the old list proves nothing.
-            self._check(request, worker)
+            self.readiness.wait(request, worker.check or self._check(worker))
             return False
         write_by = self.readiness.write_by(worker, self.now)
         forward = Forward(request, worker.entry.invoker, mind.until - self.now, write_by=write_by)
@@ -487,14 +487,19 @@
             self.actions.append(Log(f"list of workers {text}"))
 
     def _disconnected(self, event: Disconnected):
-        if event.invoker.belief is not None:
-            self.readiness.process_ended(event.invoker.belief, self.now)
+        worker = event.invoker.belief
+        if worker is None:
+            return
+        self.readiness.process_ended(worker, self.now)
+        if worker.serving and worker.check is None and self.readiness.checks_now(self.now):
+            # Most ends of connections are no ends of processes: one that answers at once is the same.
+            self._check(worker)
 
-    def _check(self, request: Inference, worker: Worker):
-        check = self.readiness.wait(worker, request, self.now)
-        if check is not None:
-            self.actions.append(Probe(worker.entry.invoker))
-            self._due(self.now + self.readiness.patience, check)
+    def _check(self, worker: Worker) -> ReadinessCheck:
+        check = self.readiness.begin_check(worker)
+        self.actions.append(Probe(worker.entry.invoker))
+        self._due(self.now + self.readiness.patience, check)
+        return check
 
     def _probed(self, event: Probed):
         worker = event.invoker.belief
@@ -509,7 +514,8 @@
 
     def _check_failed(self, worker: Worker, outcome: Outcome):
         """Against one that drains, or has gone, unheard of: what it held is taken for lost."""
-        self.actions.append(Log(f"worker {worker.entry.invoker.name} failed its readiness check: {outcome.value}"))
+        if worker.unready_until == 0.0:
+            self.actions.append(Log(f"worker {worker.entry.invoker.name} failed its readiness check: {outcome.value}"))
         self.readiness.check_failed(worker, outcome, self.now)
         if outcome is Outcome.UNCONNECTED:
             self._doubt(worker)
--- a/sprucespool/policy/readiness.py
+++ b/sprucespool/policy/readiness.py
@@ -17,8 +17,10 @@
 LIST_TRUSTED_FOR = 2_000.0
 # The part of the drain grace for which a worker's answer stands; the rest is for what is still to be written.
 PROOF_PART = 0.8
-# The least time that a health check is waited for.
-LEAST_PATIENCE = 100.0
+# The least time that a health check is waited for, and the part of the grace.
+LEAST_PATIENCE, PATIENCE_PART = 100.0, 0.4
+# A worker that answers so soon after it ended its connections is still the same process.
+SAME_PROCESS_WITHIN = 100.0
 # Ends of a check that the end of a process, or a drain before it, explains.
 PERHAPS_ENDED = (Outcome.ERROR, Outcome.UNCONNECTED, Outcome.RESET)
 # The longest pause before a worker that failed its check is checked again: each is twice the one before.
@@ -31,7 +33,8 @@
     def __init__(self, deployment: Deployment):
         self.may_check = deployment.may_probe
         self.grace = deployment.drain_grace
-        self.patience = max(LEAST_PATIENCE, deployment.connect_timeout)
+        # Where health checks are served like requests they take their time; past the grace they prove nothing.
+        self.patience = max(LEAST_PATIENCE, deployment.connect_timeout, PATIENCE_PART * self.grace)
         # An order is written by so long after it is decided, or not at all.
         self.written_within = deployment.connect_timeout
         # Until when the list is current (for ever where nobody watches discovery), and when it was known to be right.
@@ -54,38 +57,40 @@
         # Nothing but requests can show that it drains: the first one that is turned away does.
         return worker.turned_away_at >= self._list_at
 
+    def checks_now(self, now: float) -> bool:
+        """Whether workers are checked at all."""
+        return self.may_check and not self.is_list_current(now)
+
     def needs_check(self, worker: Worker, now: float) -> bool:
         """Whether nothing but a check allows anything new to be sent to it."""
-        return self.may_check and not self.is_list_current(now) and now >= worker.ready_at + PROOF_PART * self.grace
+        return self.checks_now(now) and now >= worker.ready_at + PROOF_PART * self.grace
 
     def may_order(self, worker: Worker, now: float) -> bool:
         """Orders wait for no check: one to a worker that has not just shown that it takes requests is left out."""
-        if self.is_list_current(now) or not self.may_check:
-            return not self.is_barred(worker, now)
-        return now + self.written_within <= worker.ready_at + self.grace and not self.is_barred(worker, now)
+        if self.is_barred(worker, now):
+            return False
+        return not self.checks_now(now) or now + self.written_within <= worker.ready_at + self.grace
 
     def write_by(self, worker: Worker, now: float) -> float:
         """When it is too late to write what is decided now."""
-        if self.is_list_current(now) or not self.may_check:
-            return math.inf
-        return worker.ready_at + self.grace
+        return worker.ready_at + self.grace if self.checks_now(now) else math.inf
 
     def took_request(self, worker: Worker, sent_at: float) -> None:
-        """It did not turn away what was sent to it then."""
-        worker.ready_at = max(worker.ready_at, sent_at)
+        """It did not turn away what was sent to it then. What it refused since outweighs that."""
+        if sent_at > worker.turned_away_at:
+            worker.ready_at = max(worker.ready_at, sent_at)
 
     def turned_away(self, worker: Worker, now: float) -> None:
         """Full or draining: nothing in the refusal tells which."""
         worker.ready_at, worker.turned_away_at = -math.inf, now
 
-    def wait(self, worker: Worker, request: Inference, now: float) -> ReadinessCheck | None:
-        """The request waits for the worker's check; gives the check if it is a new one that is to be made."""
-        begun = None
-        if worker.check is None:
-            worker.check = begun = ReadinessCheck(worker)
-        worker.check.waiting[request] = None
-        request.belief.check = worker.check
-        return begun
+    def begin_check(self, worker: Worker) -> ReadinessCheck:
+        worker.check = ReadinessCheck(worker)
+        return worker.check
+
+    def wait(self, request: Inference, check: ReadinessCheck) -> None:
+        check.waiting[request] = None
+        request.belief.check = check
 
     def restarted_at(self, worker: Worker, now: float) -> float:
         """When a process of it may have started that the list does not tell of; long ago where none is suspected."""
@@ -99,17 +104,19 @@
 
     def check_passed(self, worker: Worker, asked_at: float, now: float) -> None:
         if worker.perhaps_ended and worker.restart_seen_at >= self._list_at:
-            worker.restart_seen_at = now
+            same = now - worker.restart_seen_at <= SAME_PROCESS_WITHIN and worker.unready_until <= now
+            worker.restart_seen_at = -math.inf if same else now
         worker.perhaps_ended = False
-        worker.ready_at = max(worker.ready_at, asked_at)
+        self.took_request(worker, asked_at)
         worker.unready_until, worker.recheck_gap = 0.0, FIRST_RECHECK
 
     def check_failed(self, worker: Worker, outcome: Outcome, now: float) -> None:
         if outcome in PERHAPS_ENDED:
             self.process_ended(worker, now)
-        worker.ready_at = -math.inf
+        self.turned_away(worker, now)
         worker.unready_until = now + worker.recheck_gap
-        worker.recheck_gap = min(2 * worker.recheck_gap, LAST_RECHECK)
+        if outcome is not Outcome.TIMED_OUT:
+            worker.recheck_gap = min(2 * worker.recheck_gap, LAST_RECHECK)
 
     def release(self, check: ReadinessCheck) -> list[Inference]:
         """The check is over; gives the requests that waited for it."""
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -100,6 +100,20 @@
     assert of_kind(run.wait(400.0) + run.arrive(model="other")[1], it.Probe)
 
 
+def test_an_answer_to_what_was_sent_before_a_refusal_shows_nothing():
+    run = world("w1", heard=None, may_duplicate=True)
+    _, probe = probe_of(run)
+    (taken,) = of_kind(probed(run, probe), it.Forward)
+    run.now += 10.0
+    (refused,) = of_kind(run.arrive(lanes=4)[1], it.Forward)
+    run.now += 5.0
+    run.end(refused, it.Outcome.FULL)
+    run.now += 5.0
+    assert not of_kind(run.end(taken), it.Forward)
+    run.wait(200.0)
+    assert of_kind(run.wait(600.0) + run.arrive(model="other")[1], it.Probe)
+
+
 def test_all_that_waits_for_a_check_is_answered_and_nothing_is_sent_for_those_who_left():
     run = world("w1", heard=None)
     left, probe = probe_of(run)
@@ -197,6 +211,15 @@
     assert sent_to(run, returning, 3 * run.dep.fall_window, 10.0) > 1.5 * allowed
 
 
+def test_one_that_answers_at_once_after_the_end_of_its_connections_is_the_same_process():
+    run = world("w1", heard=0.0)
+    returning = run.invokers["w1"]
+    sent_to(run, returning, 6_000.0, 10.0)
+    (probe,) = of_kind(run.tell(it.Disconnected(returning)), it.Probe)
+    probed(run, probe, elapsed=20.0)
+    assert sent_to(run, returning, run.dep.fall_window, 10.0) > 140
+
+
 def test_an_end_of_all_connections_before_the_list_was_last_heard_is_no_restart():
     run = world("w1", heard=0.0)
     returning = run.invokers["w1"]
