--- a/tests/test_discovery_outage.py
+++ b/tests/test_discovery_outage.py
@@ -111,8 +111,9 @@
 class OutageScene:
     """One controller process between stand-ins, and clients that ask all the time."""
 
-    def __init__(self, folder, rate: float, seed: int = 1):
+    def __init__(self, folder, rate: float, seed: int = 1, begins_failing: bool = False):
         self.folder, self.rate, self.chance = folder, rate, random.Random(seed)
+        self.begins_failing = begins_failing
         self.discovery = FailingDiscovery()
         self.invokers = [InvokerStandIn(hit) for _ in range(INVOKERS)]
         self.clients: list[Client] = []
@@ -125,7 +126,10 @@
         for one in self.invokers:
             await one.start()
         self.start_process()
-        await until(lambda: self.discovery.asked, 10.0)
+        if self.begins_failing:
+            await self.discovery.refuse()
+        else:
+            await until(lambda: self.discovery.asked, 10.0)
         await until(lambda: "listening" in self.said(), 10.0)
         self.connect()
         self.asking = asyncio.ensure_future(self._ask())
@@ -258,6 +262,23 @@
     played(scene)
 
 
+def test_a_controller_that_starts_during_an_outage_checks_from_its_first_request_on(tmp_path):
+    async def scene():
+        async with OutageScene(tmp_path, 30.0, begins_failing=True) as world:
+            await asyncio.sleep(1.0)
+            world.drain_the_busiest()
+            await asyncio.sleep(1.5)
+            world.drain_the_busiest()
+            await asyncio.sleep(2.0)
+            await world.stop_asking()
+            # The outage began long before: each drain counts as told at once.
+            assert not world.late_sends(failed_at=0.0)
+            assert not world.unanswered()
+            assert world.served_share(0.0, time.monotonic()) > 0.9
+
+    played(scene)
+
+
 def test_an_invoker_that_ends_all_connections_is_told_of_and_idle_ones_that_close_here_are_not():
     """What a process that comes back unheard of is known by."""
 
