--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -300,8 +300,9 @@
         told.update(self.change)
         self.node = Node("", read(json.dumps(told).encode()), Log("error"), self.clock)
         self.port = await self.begin(self.node)
-        while not self.channel.asked:
-            await asyncio.sleep(0.01)
+        # Discovery is heard, and the decisions know it: else invokers are checked before they are sent to.
+        await until(lambda: self.channel.asked and self.node.channel and self.node.channel.heard_at is not None, 10.0)
+        await asyncio.sleep(0.01)
         return self
 
     async def client(self, receive_buffer: int = 0) -> RawClient:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -115,6 +115,10 @@
         told.update(self.change)
         self.node = Node("", read(json.dumps(told).encode()), Log("error"))
         self.port = await self.node.start()
+        # Until discovery is heard invokers are checked before they are sent to.
+        while self.node.channel.heard_at is None:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.01)
         return self
 
     async def client(self):
