The test of a silent channel makes it silent in place of ageing a connection by hand

Traced: the test took 10 s off the time at which a connection was last heard, and the next comment, every 0.3 s, undid it where it came before the look every 0.1 s; the scene's new wait moved the two together. Change: the stand-in stops its comments, and a new connection must come between 1 and 2.5 s later. Stricter: the silence is real.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -61,7 +61,7 @@
     """The command channel: each connection plays the next list of lines; "end" breaks it off."""
 
     def __init__(self, *plays):
-        self.plays, self.asked = list(plays), []
+        self.plays, self.asked, self.comments = list(plays), [], True
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -77,7 +77,8 @@
                 writer.write(text)
             if not self.plays:
                 while True:
-                    writer.write(b": still here\n\n")
+                    if self.comments:
+                        writer.write(b": still here\n\n")
                     await asyncio.sleep(0.3)
         except (ConnectionError, asyncio.CancelledError):
             return
@@ -325,11 +326,11 @@
 def test_a_silent_channel_is_left_for_a_new_connection():
     async def scene():
         channel = ChannelStandIn()
-        async with World([StandIn()], channel) as world:
-            await asyncio.sleep(0.1)
-            world.node.channel.wire.heard -= 10_000
+        async with World([StandIn()], channel):
+            channel.comments, began = False, time.monotonic()
             while len(channel.asked) < 2:
                 await asyncio.sleep(0.02)
+            assert 1.0 < time.monotonic() - began < 2.5
 
     played(scene)
 
