--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -53,7 +53,7 @@
 class InvokerStandIn:
     """Keeps each whole line with the time at which it came; `behave(tag)` gives what it answers to a run, or None.
 
-    One that drains turns runs and orders away and calls itself sick, as the platform's invokers do; it stays up.
+    One that drains turns runs away and calls itself sick, as the platform's invokers do; it stays up.
     """
 
     def __init__(self, behave: Callable[[str], bytes | None] = hit, full: bool = False):
