A request cancelled in its own read no longer ends its client's connection

Callers saw: a client that cancelled one request lost its connection without an answer, with all that it waited for on it, while the controller held as many bodies as it allows itself.

Cause: all frames of a read are parsed before the first one is handled. FrameLink had ended the cancelled stream when GatewayServer.request_received shed the request on it; FrameLink._answer raised SendNotAllowed, nothing caught it, and asyncio closes a connection whose protocol raises.

Change: ClientConnection hands over a request only if it is still open when it is handled. So every request that the gateway server knows is open, whichever way it is answered.

--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -61,6 +61,9 @@
         handler = self.listener.handler
         for event in events:
             if isinstance(event, Request):
+                if not self.link.is_open(event.stream):
+                    # A later frame of the same read cancelled it: no answer is owed, and none can be sent.
+                    continue
                 if not handler.request_received(self, event):
                     return self.close_with_error("request id is already in use", self.listener.error_delay)
             elif isinstance(event, Cancellation):
--- a/sprucespool/relay/frames.py
+++ b/sprucespool/relay/frames.py
@@ -232,6 +232,10 @@
         else:
             raise self._reject(0, FrameError(f"expected a frame that clients send, got type {kind}"))
 
+    def is_open(self, stream: int) -> bool:
+        """Whether a request on the stream waits for its answer: neither answered nor cancelled in what was received."""
+        return stream in self.open
+
     def _reject(self, stream: int, error: FrameError) -> FrameError:
         self.fail_open_requests(stream)
         return error
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -229,6 +229,8 @@
 
     def __init__(self, port: int, receive_buffer: int = 0):
         self.sock = socket.socket()
+        # An incomplete frame that `answers_to` received.
+        self.unread = b""
         if receive_buffer:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.sock.connect(("127.0.0.1", port))
@@ -253,6 +255,25 @@
             pass
         return data
 
+    async def answers_to(self, streams: set[int], seconds: float = 3.0) -> list[int]:
+        """Returns the streams of the answers received until all of `streams` have one.
+
+        Raises TimeoutError or ConnectionError, with the streams that have none, if that does not happen in time.
+        """
+        self.sock.setblocking(False)
+        loop, found = asyncio.get_running_loop(), []
+        try:
+            async with asyncio.timeout(seconds):
+                while not streams <= set(found):
+                    chunk = await loop.sock_recv(self.sock, 65_536)
+                    if not chunk:
+                        raise ConnectionError("the connection was ended")
+                    frames, self.unread = cut_frames(self.unread + chunk)
+                    found += [stream for kind, stream, _ in frames if kind == 17]
+        except (TimeoutError, ConnectionError) as error:
+            raise type(error)(f"{error}; no answer on streams {sorted(streams - set(found))}") from None
+        return found
+
     async def answers(self, count: int, seconds: float = 3.0) -> list[tuple[int, int, int]]:
         """Returns (type, stream, code) of up to `count` frames received within the time."""
         self.sock.setblocking(False)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,6 +4,7 @@
 import errno
 import json
 import time
+from random import Random
 from types import SimpleNamespace
 
 import pytest
@@ -33,9 +34,61 @@
     return changed
 
 
+SMALL_MEMORY = {"memory_mb": 1, "sockets": 256}
 LONG_CONNECT_TIMEOUT = dict(settings=settings(connectTimeout=3000))
 
 
+# Events of one read
+
+
+def test_a_request_cancelled_in_its_own_read_leaves_the_connection_to_the_others():
+    """Guards against: it was shed over the limit on bodies after its stream had ended, which ended the connection."""
+
+    async def scene():
+        async with Scene(InvokerStandIn(), limits=SMALL_MEMORY) as world:
+            client = await world.client()
+            waiting = b"".join(request_frame(n, bytes(15_000), id=f"{n:016x}") for n in range(1, 11))
+            client.send(waiting + request_frame(11, bytes(15_000), id=f"{11:016x}") + frame(18, 11))
+            assert {(17, n, 0) for n in range(1, 11)} == set(await client.answers(10))
+            client.send(request_frame(12, id=f"{12:016x}"))
+            assert await client.answers(2, 0.5) == [(17, 12, 0)]
+            assert f"{11:016x}" not in world.invokers[0].runs()
+
+    run_scene(scene)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_frames_of_one_read_in_any_order_leave_each_request_one_answer(seed):
+    """Guards against: a frame that is handled in a state of the connection that belongs to a later frame."""
+
+    async def scene():
+        chance = Random(seed)
+        async with Scene(InvokerStandIn(), limits=SMALL_MEMORY) as world:
+            client, asked, answered = await world.client(), 0, []
+            for _ in range(8):
+                frames, owed = b"", set()
+                for _ in range(chance.randrange(2, 32)):
+                    step = chance.random()
+                    if step < 0.1:
+                        frames += frame(32, 0)
+                    elif step < 0.4 and asked:
+                        cancelled = chance.randrange(max(1, asked - 5), asked + 1)
+                        owed.discard(cancelled)
+                        frames += frame(18, cancelled)
+                    else:
+                        asked += 1
+                        owed.add(asked)
+                        frames += request_frame(
+                            asked, bytes(chance.choice((0, 16_000, 16_000, 16_000))), id=f"{asked:016x}"
+                        )
+                client.send(frames)
+                answered += await client.answers_to(owed)
+            assert len(answered) == len(set(answered)) and 0 not in answered
+            assert not world.node.server.calls and not world.node.server.held_bytes
+
+    run_scene(scene)
+
+
 # A request and the end of its client
 
 
