An unexpected error in handling one request ends that request alone

Callers saw: whatever raised while one request was handled took others along. An error at a frame or call of a client ended its connection, with no answer to what waited on it; at the end of an attempt it ended the connection to the invoker, and the other attempts on it counted as reset; while an effect was carried out it dropped the other effects of the batch.

Change: the error is caught where one request is handled (client connections, ends of attempts over lines and gRPC, the gRPC listener, effects of both controllers), logged with its traceback by the loop's exception handler, and the one request is failed.

--- a/sprucespool/daemon/gateway_server.py
+++ b/sprucespool/daemon/gateway_server.py
@@ -22,6 +22,7 @@
 from sprucespool.policy import Controller
 from sprucespool.settings.controller import ControllerPlan, ModelTable, address, deployment
 from sprucespool.transport.listener import Method, ServerCall, unary
+from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.pool import CallEvent, Pool, PoolCall, Unconnected
 from sprucespool.transport.input_batcher import InputBatcher
@@ -158,7 +159,10 @@
             self.in_flight.pop(number, None)
 
     def _effect(self, effect: ms.Effect):
-        EFFECTS[type(effect)](self, effect)
+        try:
+            EFFECTS[type(effect)](self, effect)
+        except Exception as error:  # must not keep other requests from the other effects of the batch
+            report_unexpected(f"effect {type(effect).__name__}", error)
 
     # Methods of clients
 
--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -8,8 +8,9 @@
 from typing import Protocol
 
 from sprucespool.node.logs import Log
-from sprucespool.relay.frames import Cancellation, FrameLink, ReadinessQuery, Request, RequestReader
+from sprucespool.relay.frames import Cancellation, Event, FrameLink, ReadinessQuery, Request, RequestReader
 from sprucespool.transport.acceptor import Acceptor
+from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.wire import Wire
 
 CHECK_INTERVAL_SECONDS = 0.25
@@ -57,22 +58,45 @@
     def _on_made(self, wire: Wire):
         self.listener.connection_made(self)
 
-    def _on_events(self, wire: Wire, events: list):
-        handler = self.listener.handler
+    def _on_events(self, wire: Wire, events: list[Event]):
         for event in events:
-            if isinstance(event, Request):
-                if not self.link.is_open(event.stream):
-                    # A later frame of the same read cancelled it: no answer is owed, and none can be sent.
-                    continue
-                if not handler.request_received(self, event):
-                    return self.close_with_error("request id is already in use", self.listener.error_delay)
-            elif isinstance(event, Cancellation):
-                handler.request_cancelled(self, event.stream)
-            elif isinstance(event, ReadinessQuery):
-                self.link.readiness(event.stream, handler.ready)
+            try:
+                usable = self._handle(event)
+            except Exception as error:
+                self._fail_event(event, error)
+                continue
+            if not usable:
+                return self.close_with_error("request id is already in use", self.listener.error_delay)
         self.idle_since = wire.last_received_at
         self._waited = None
 
+    def _handle(self, event: Event) -> bool:
+        """Returns False if the client violates the protocol."""
+        handler = self.listener.handler
+        if isinstance(event, Cancellation):
+            handler.request_cancelled(self, event.stream)
+        elif isinstance(event, ReadinessQuery):
+            self.link.readiness(event.stream, handler.ready)
+        elif self.link.is_open(event.stream):
+            return handler.request_received(self, event)
+        # Else a later frame of the same read cancelled the request: no answer is owed, and none can be sent.
+        return True
+
+    def _fail_event(self, event: Event, error: Exception):
+        """Fail the one request that could not be handled; others wait on the same connection."""
+        report_unexpected(f"{type(event).__name__} on stream {event.stream} of a client", error)
+        if isinstance(event, Request):
+            self._cancel(event.stream)
+            if self.link.is_open(event.stream):
+                self.link.failed(event.stream)
+                self.answered(event.stream)
+
+    def _cancel(self, stream: int):
+        try:
+            self.listener.handler.request_cancelled(self, stream)
+        except Exception as error:  # must not keep the other requests of the connection from their ends
+            report_unexpected(f"cancellation on stream {stream} of a client", error)
+
     @property
     def waited(self) -> float:
         """The longest time (ms) for which input read now may have waited with the connection to be accepted.
@@ -83,7 +107,7 @@
 
     def _on_lost(self, wire: Wire, why: str):
         for stream in list(self.calls):
-            self.listener.handler.request_cancelled(self, stream)
+            self._cancel(stream)
         self.listener.connection_lost(self, why)
 
     def _on_closed(self, wire: Wire):
--- a/sprucespool/node/gateway_server.py
+++ b/sprucespool/node/gateway_server.py
@@ -22,6 +22,7 @@
 from sprucespool.relay.feed import Roster
 from sprucespool.relay.frames import Request, RequestReader
 from sprucespool.relay.lines import Answer, InvokerLink
+from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.input_batcher import InputBatcher
 
@@ -107,7 +108,10 @@
             self.in_flight.pop(number, None)
 
     def _effect(self, effect: ms.Effect):
-        EFFECTS[type(effect)](self, effect)
+        try:
+            EFFECTS[type(effect)](self, effect)
+        except Exception as error:  # must not keep other requests from the other effects of the batch
+            report_unexpected(f"effect {type(effect).__name__}", error)
 
     # The roster
 
--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -7,6 +7,7 @@
 from sprucespool import interface as it
 from sprucespool.relay.feed import Place
 from sprucespool.relay.lines import Answer, InvokerLink
+from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.opener import Opener
 from sprucespool.transport.pace import LoopPace
 from sprucespool.transport.plan import PoolLimits, Slot
@@ -55,9 +56,13 @@
         self.ended = False
 
     def end(self, result: Answer | it.Outcome) -> None:
-        if not self.ended:
-            self.ended = True
+        if self.ended:
+            return
+        self.ended = True
+        try:
             self.on_end(result)
+        except Exception as error:  # must not keep the other requests of the connection from their ends
+            report_unexpected(f"end of request {self.tag} to an invoker", error)
 
     def cancel(self) -> None:
         if not self.ended:
--- a/sprucespool/transport/listener.py
+++ b/sprucespool/transport/listener.py
@@ -11,6 +11,7 @@
 from sprucespool.grpc.server import ServerLink
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.transport.acceptor import Acceptor
+from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.wire import Wire
 
 CHECK_INTERVAL_SECONDS = 1.0
@@ -176,30 +177,44 @@
         waited = self.waited + wire.last_received_at - wire.opened if self.waited else 0.0
         self.waited, self.received_any = 0.0, True
         for event in events:
-            if isinstance(event, CallStarted):
-                call = ServerCall(wire, event, wire.last_received_at, self.name, waited)
-                method = self.listener.methods.get(event.path)
-                if method is None:
-                    self.listener.reject_unknown(call)
-                elif (
-                    self.listener.shutting_down
-                    and self.listener.kept_paths
-                    and event.path not in self.listener.kept_paths
-                ):
-                    call.finish(Status.UNAVAILABLE, "shutting down")
-                else:
-                    self.calls[event.stream] = call
-                    method(call)
-            elif isinstance(event, PingAcknowledged):
-                self.pinged_at = 0.0
-            elif (existing := self.calls.get(getattr(event, "stream", 0))) is not None:
-                self._dispatch(existing, event)
+            try:
+                self._handle(event, waited)
+            except Exception as error:
+                self._fail_event(event, error)
         if len(self.calls) > 64 or not self.link.streams:
             # Drop finished calls whose streams have ended.
             self.calls = {n: call for n, call in self.calls.items() if n in self.link.streams}
         if self.listener.shutting_down and not self.listener.kept_paths and not self.link.streams:
             self.listener.loop.call_soon(self.listener.end_if_idle, self)
 
+    def _handle(self, event: Event, waited: float):
+        if isinstance(event, CallStarted):
+            self._start(event, waited)
+        elif isinstance(event, PingAcknowledged):
+            self.pinged_at = 0.0
+        elif (existing := self.calls.get(getattr(event, "stream", 0))) is not None:
+            self._dispatch(existing, event)
+
+    def _start(self, event: CallStarted, waited: float):
+        listener = self.listener
+        call = ServerCall(self.wire, event, self.wire.last_received_at, self.name, waited)
+        method = listener.methods.get(event.path)
+        if method is None:
+            listener.reject_unknown(call)
+        elif listener.shutting_down and listener.kept_paths and event.path not in listener.kept_paths:
+            call.finish(Status.UNAVAILABLE, "shutting down")
+        else:
+            self.calls[event.stream] = call
+            method(call)
+
+    def _fail_event(self, event: Event, error: Exception):
+        """Fail the one call whose event could not be handled; others are open on the same connection."""
+        report_unexpected(f"{type(event).__name__} of a call from {self.name}", error)
+        stream = getattr(event, "stream", 0)
+        if (call := self.calls.get(stream)) is not None:
+            self._cancelled(call)
+        self.link.finish(stream, Status.UNKNOWN, "unexpected error of the server")
+
     def _dispatch(self, call: ServerCall, event: Event):
         if isinstance(event, Message):
             if call.over:
@@ -218,7 +233,10 @@
     def _cancelled(self, call: ServerCall):
         if not call.over:
             call.over = True
-            call.on_cancelled()
+            try:
+                call.on_cancelled()
+            except Exception as error:  # must not keep the other calls of the connection from their ends
+                report_unexpected(f"cancellation of a call to {call.path[:200]}", error)
 
     def _lost(self, wire: Wire, why: str):
         self.listener.peers.pop(self, None)
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -9,6 +9,7 @@
 from sprucespool.grpc.events import Answered, Drained, Event, GoingAway, Message, PingAcknowledged, Reset
 from sprucespool.grpc.client import ClientLink
 from sprucespool.grpc.status import Limits, Metadata
+from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.opener import Opener
 from sprucespool.transport.pace import LoopPace
 from sprucespool.transport.plan import PoolLimits, Slot
@@ -79,9 +80,13 @@
             self.conn.wire.flush_soon()
 
     def end(self, event: CallEvent) -> None:
-        if not self.over:
-            self.over = isinstance(event, FINAL_EVENTS)
+        if self.over:
+            return
+        self.over = isinstance(event, FINAL_EVENTS)
+        try:
             self.on_event(event)
+        except Exception as error:  # must not keep the other calls of the connection from their events
+            report_unexpected(f"{type(event).__name__} of a call to {self.pool.authority}{self.path}", error)
 
 
 class _Conn:
