A stream that h2 reset itself ends here too: its answer raised an error

Callers saw: a gRPC peer that widens the window of a stream too far makes h2 reset it. The call went on here; its answer raised StreamClosedError amid the other effects of its batch.

Cause: Link._on_reset passed over resets that h2 reports as its own (remote_reset False), so Link.streams kept a stream that h2 had closed. Evidence: a trial with such a frame and an answer.

Change: each reset that h2 reports of a known stream ends it, and its call gets the Reset event.

--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -241,7 +241,8 @@
         raise NotImplementedError
 
     def _on_reset(self, event, events: list, now: float):
-        if event.stream_id in self.streams and event.remote_reset is not False:
+        # Also if h2 reset the stream itself, for an error of the peer that concerns this stream alone.
+        if event.stream_id in self.streams:
             code = int(event.error_code)
             self._drop(event.stream_id)
             events.append(Reset(event.stream_id, code, code == Codes.REFUSED_STREAM))
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -248,6 +248,84 @@
     assert out[3] == HEADERS and int.from_bytes(out[5:9], "big") == 1 and not server.streams
 
 
+@pytest.mark.parametrize("queued", [0, 200_000])
+def test_a_stream_whose_window_overflows_is_reset_and_the_others_are_answered(queued):
+    """Guards against: the stream stayed open here, and an answer on it raised an error."""
+    conn = plain_http2(GRPC, WHOLE)
+    server = ServerLink(Limits())
+    conn.increment_flow_control_window(2**20)
+    conn.send_headers(3, GRPC)
+    conn.send_data(3, WHOLE, end_stream=True)
+    server.receive(conn.data_to_send(), 0.0)
+    server.send(1, bytes(queued))
+    server.outgoing()
+    events = server.receive(overflow(1), 0.0)
+    assert [(type(event), event.stream) for event in events] == [(Reset, 1)] and list(server.streams) == [3]
+    server.finish(1, Status.OK)
+    server.finish(3, Status.OK)
+    assert HEADERS in kinds_on_stream(server.outgoing()[0], 3)
+
+
+def overflow(stream):
+    """Frames that widen the window of the stream further than HTTP/2 allows."""
+    return 2 * frame(8, 0, stream, (2**31 - 1).to_bytes(4, "big"))
+
+
+def kinds_on_stream(data, stream):
+    """The types of the frames on the stream."""
+    kinds = []
+    while data:
+        end = 9 + int.from_bytes(data[:3], "big")
+        if int.from_bytes(data[5:9], "big") == stream:
+            kinds.append(data[3])
+        data = data[end:]
+    return kinds
+
+
+# What a client may do to one of its calls: begin it well or in a way that is refused, go on, end, reset, break a rule.
+STEPS = st.sampled_from(["begin", "begin badly", "message", "cut off", "compressed", "end", "reset", "overflow"])
+
+
+@given(st.lists(st.tuples(STEPS, st.integers(0, 3)), max_size=40), st.booleans())
+@FAST
+def test_the_calls_of_a_read_fare_the_same_however_it_is_cut(steps, leaving):
+    """Guards against: an event is handled in a state of its stream that belongs to a later frame."""
+    conn = h2.connection.H2Connection(h2.config.H2Configuration(client_side=True, header_encoding=None))
+    conn.initiate_connection()
+    opening, frames, open_streams = conn.data_to_send(), [], []
+    for step, which in steps:
+        if step.startswith("begin"):
+            open_streams.append(conn.get_next_available_stream_id())
+            conn.send_headers(open_streams[-1], GRPC if step == "begin" else [*GRPC, (b"grpc-timeout", b"5x")])
+        elif not open_streams:
+            continue
+        else:
+            stream = open_streams[which % len(open_streams)]
+            if step == "overflow":
+                frames.append(overflow(stream))
+                continue
+            if step == "reset":
+                conn.reset_stream(stream, 8)
+            else:
+                body = {"message": WHOLE, "cut off": CUT_OFF, "compressed": COMPRESSED, "end": b""}[step]
+                conn.send_data(stream, body, end_stream=step == "end")
+            if step in ("reset", "end"):
+                open_streams.remove(stream)
+        frames.append(conn.data_to_send())
+    fared = []
+    for reads in ([b"".join(frames)], frames):
+        server = ServerLink(Limits())
+        server.receive(opening, 0.0)
+        if leaving:
+            server.go_away()
+        events = [event for read in reads for event in server.receive(read, 0.0)]
+        for number in list(server.streams):
+            server.finish(number, Status.OK)
+        server.outgoing()
+        fared.append(([repr(event) for event in events], list(server.streams)))
+    assert fared[0] == fared[1] and not fared[0][1]
+
+
 def test_floods_of_resets_pings_settings_and_empty_frames_end_the_connection():
     block = Encoder().encode(GRPC)
     resets = b"".join(frame(1, 4, n, block) + frame(3, 0, n, b"\0\0\0\x08") for n in range(1, 1201, 2))
