A gRPC connection's slot is up to date before the events of a read are handled

Callers saw: a call to an invoker that had lowered its limit of streams raised TooManyStreamsError amid the other effects of its batch; a call made at an answer that came in one read with a GOAWAY was begun on that connection, refused there and counted as turned away.

Cause: the pool decides by the connection's slot, which was brought up to date after all events of a read; SETTINGS made no event at all. The link had parsed the whole read by then.

Change: the slot takes room and farewell from the link before the events are handled; SETTINGS of a server make a SettingsChanged event.

Result: tests/test_pool_crossings.py, two new tests: both failed before (TooManyStreamsError; begun on the old connection), none after.

--- a/sprucespool/grpc/client.py
+++ b/sprucespool/grpc/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sprucespool.grpc.events import Answered
+from sprucespool.grpc.events import Answered, SettingsChanged
 from sprucespool.grpc.link import Link
 from sprucespool.grpc.status import (
     STATUS_FROM_HTTP,
@@ -63,6 +63,9 @@
             )
         )
 
+    def _on_settings(self, event, events: list, now: float):
+        events.append(SettingsChanged())
+
     def _on_response(self, event, events: list, now: float):
         stream = self.streams.get(event.stream_id)
         if stream is None:
--- a/sprucespool/grpc/events.py
+++ b/sprucespool/grpc/events.py
@@ -66,6 +66,11 @@
     """The peer acknowledged a ping of this end."""
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """Client: the peer changed its limits, the number of streams that it accepts among them."""
+
+
 @dataclass(slots=True)
 class Drained:
     """The data waiting to be sent on the stream is at or below the low mark again."""
@@ -73,4 +78,4 @@
     stream: int
 
 
-Event = CallStarted | Message | HalfClosed | Answered | Reset | GoingAway | PingAcknowledged | Drained
+Event = CallStarted | Message | HalfClosed | Answered | Reset | GoingAway | PingAcknowledged | SettingsChanged | Drained
--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -418,5 +418,6 @@
     h2.events.StreamEnded: lambda link, *rest: link._on_ended(*rest),
     h2.events.DataReceived: lambda link, *rest: link._on_data(*rest),
     h2.events.StreamReset: lambda link, *rest: link._on_reset(*rest),
+    h2.events.RemoteSettingsChanged: lambda link, *rest: link._on_settings(*rest) if not link.server else None,
     h2.events.PingAckReceived: lambda link, *rest: link._on_pong(*rest),
 }
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -6,7 +6,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from sprucespool.grpc.events import Answered, Drained, Event, GoingAway, Message, PingAcknowledged, Reset
+from sprucespool.grpc.events import (
+    Answered,
+    Drained,
+    Event,
+    GoingAway,
+    Message,
+    PingAcknowledged,
+    Reset,
+    SettingsChanged,
+)
 from sprucespool.grpc.client import ClientLink
 from sprucespool.grpc.status import Limits, Metadata
 from sprucespool.transport.errors import report_unexpected
@@ -130,24 +139,24 @@
             self.pool.place_soon()
 
     def note(self):
-        self.slot.room, self.slot.open_calls, self.slot.last_received_at = (
-            self.link.room,
-            len(self.calls),
-            self.wire.last_received_at,
-        )
+        slot, link = self.slot, self.link
+        slot.room, slot.closing = link.room, link.peer_leaving
+        slot.open_calls, slot.last_received_at = len(self.calls), self.wire.last_received_at
         if not self.calls:
-            self.slot.idle_since = self.pool.now()
+            slot.idle_since = self.pool.now()
 
     def forget(self, stream: int):
         self.calls.pop(stream, None)
         self.note()
 
     def _events(self, wire: Wire, events: list[Event]):
+        # The link has parsed the whole read: a call that is begun at one event must not rely on what a later one ended.
+        self.note()
         for event in events:
-            if isinstance(event, GoingAway):
-                self.slot.room, self.slot.closing = 0, True
-            elif isinstance(event, PingAcknowledged):
+            if isinstance(event, PingAcknowledged):
                 self.slot.pinged_at = None
+            elif isinstance(event, GoingAway | SettingsChanged):
+                continue
             elif (call := self.calls.get(event.stream)) is not None:
                 if isinstance(event, FINAL_EVENTS):
                     del self.calls[event.stream]
--- a/tests/test_pool_crossings.py
+++ b/tests/test_pool_crossings.py
@@ -9,6 +9,7 @@
 import socket
 
 import pytest
+from h2.settings import SettingCodes
 from faulty_sockets import Faults, faulty_sockets
 from platform_scene import run_scene, until
 
@@ -224,6 +225,47 @@
     run_scene(scene)
 
 
+def test_a_call_after_the_peer_lowered_its_limit_of_streams_waits_for_another_connection():
+    """Guards against: the limit was not seen before the next event, and the call beyond it raised an error."""
+
+    async def scene():
+        async with pool_and_peer(connections=2) as (pool, peer):
+            old = list(pool.conns)
+            peer.link.h2.update_settings({SettingCodes.MAX_CONCURRENT_STREAMS: 1})
+            await peer.read(0.1)
+            received = []
+            pool.call("/a/Next", {}, 2_000.0, b"small", received.append)
+            first, peer.link = peer.connection, ServerLink(WIDE)
+            await peer.accept()
+            assert peer.begun == ["/a/Warm", "/a/Next"] and old[0].room == 0 and len(pool.conns) == 2
+            first.close()
+
+    run_scene(scene)
+
+
+def test_a_call_made_at_an_answer_read_together_with_a_goaway_uses_another_connection():
+    """Guards against: it was begun on a connection of which a later event of the same read had said the end."""
+
+    async def scene():
+        async with pool_and_peer(connections=1) as (pool, peer):
+            received = []
+
+            def call_again(event):
+                pool.call("/a/Again", {}, 2_000.0, b"small", received.append)
+
+            pool.call("/a/First", {}, 2_000.0, b"small", call_again)
+            await peer.read(0.1)
+            peer.link.finish(3, Status.OK)
+            peer.link.go_away()
+            await peer.read(0.1)
+            assert peer.begun == ["/a/Warm", "/a/First"] and not received
+            peer.link = ServerLink(WIDE)
+            await peer.accept()
+            assert peer.begun == ["/a/Warm", "/a/First", "/a/Again"]
+
+    run_scene(scene)
+
+
 def test_new_calls_use_another_connection_while_the_old_one_still_answers():
     async def scene():
         async with pool_and_peer(connections=1) as (pool, peer):
