Answers over gRPC before invalid input in the same read count

Callers saw: an invoker's answer that came in one read with something HTTP/2 forbids was reported as a broken connection: the request ran again, or failed where it may not be repeated.

Cause: Link.receive raised for the whole read and dropped the events before the error; h2 does so for the data given at once.

Change: a client gives h2 each frame alone, returns the events before the error and keeps the error; the pool handles them and then ends the connection.

--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -84,6 +84,8 @@
         self.starved: dict[int, None] = {}
         self.unsent = 0
         self.leaving, self.peer_leaving, self.dead = False, False, ""
+        # Client: the error that stopped a read after valid events; the connection must end once they are handled.
+        self.read_error: LinkError | None = None
         self.highest = 0
         self._unparsed = b""
         self._preface = len(PREFACE) if server else 0
@@ -95,8 +97,21 @@
     # Receiving
 
     def receive(self, data: bytes | memoryview, now: float) -> list[Event]:
-        """Raises LinkError when the connection must end; `outgoing` then still returns the GOAWAY for the peer."""
+        """Raises LinkError when the connection must end; `outgoing` then still returns the GOAWAY for the peer.
+
+        A client that received events before the invalid input returns them instead and keeps the error in `read_error`:
+        calls that were answered must not count as interrupted.
+        """
         events: list[Event] = []
+        try:
+            self._receive(data, now, events)
+        except LinkError as error:
+            if self.server or not events:
+                raise
+            self.read_error = error
+        return events
+
+    def _receive(self, data: bytes | memoryview, now: float, events: list[Event]):
         buffered = self._unparsed + bytes(data) if self._unparsed else bytes(data)
         at = 0
         if self._preface:
@@ -104,7 +119,7 @@
                 self._fail(Codes.PROTOCOL_ERROR, "expected the HTTP/2 preface")
             if len(buffered) < self._preface:
                 self._unparsed = buffered
-                return events
+                return
             at, self._preface = self._preface, 0
             self.h2.receive_data(PREFACE)
         begin = at
@@ -116,7 +131,8 @@
             if end > len(buffered):
                 break
             kind = buffered[at + 3]
-            if kind in CLOSING_FRAMES:
+            # h2 returns no events of the frames before an invalid one, so a client gives it each frame alone.
+            if kind in CLOSING_FRAMES or not self.server:
                 self._feed(buffered[begin:at], events, now)
                 begin = at
             if kind == GOAWAY:
@@ -129,7 +145,6 @@
             at = end
         self._feed(buffered[begin:at], events, now)
         self._unparsed = buffered[at:]
-        return events
 
     def _feed(self, frames: bytes, events: list, now: float):
         if not frames:
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -162,7 +162,9 @@
                     del self.calls[event.stream]
                 call.end(event)  # type: ignore[arg-type]
         self.note()
-        if self.link.peer_leaving and not self.calls:
+        if self.link.read_error is not None:
+            wire.end(str(self.link.read_error))
+        elif self.link.peer_leaving and not self.calls:
             wire.end("the peer is going away")
         elif self.slot.ready and self.slot.room > 0:
             self.pool.place_soon()
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -111,6 +111,20 @@
     )
 
 
+def test_answers_before_invalid_input_in_the_same_read_count():
+    """Guards against: a call that was answered counted as interrupted, so that it failed or ran again."""
+    client, server = pair()
+    numbers = [client.call("/a.B/C", "h") for _ in range(2)]
+    shuttle(client, server)
+    server.send(numbers[0], b"answer")
+    server.finish(numbers[0], Status.OK)
+    invalid = frame(0, 0, 0, b"data on no stream")
+    events = client.receive(server.outgoing()[0] + invalid, 0.0)
+    assert [type(event) for event in events] == [Message, Answered] and client.read_error and client.room == 0
+    with pytest.raises(LinkError):
+        pair()[0].receive(invalid, 0.0)
+
+
 def test_streams_above_the_limit_are_refused_as_never_run_and_the_others_continue():
     client, server = ClientLink(Limits(streams=50)), ServerLink(Limits(streams=3))
     # A client may open more streams before it knows the server's SETTINGS.
--- a/tests/test_pool_crossings.py
+++ b/tests/test_pool_crossings.py
@@ -266,6 +266,25 @@
     run_scene(scene)
 
 
+def test_an_answer_read_together_with_invalid_input_counts_and_the_other_calls_are_broken():
+    """Guards against: a call that was answered was reported as broken with its connection."""
+
+    async def scene():
+        async with pool_and_peer(connections=1) as (pool, peer):
+            received, others = [], []
+            pool.call("/a/First", {}, 2_000.0, b"small", received.append)
+            pool.call("/a/Other", {}, 2_000.0, b"small", others.append)
+            await peer.read(0.1)
+            peer.link.finish(3, Status.OK)
+            data_on_no_stream = bytes((0, 0, 1, 0, 0, 0, 0, 0, 0, 0))
+            peer.connection.send(peer.link.outgoing()[0] + data_on_no_stream)
+            await until(lambda: received and others)
+            assert [event.status for event in received] == [Status.OK]
+            assert [type(event) for event in others] == [Broken] and not pool.conns
+
+    run_scene(scene)
+
+
 def test_new_calls_use_another_connection_while_the_old_one_still_answers():
     async def scene():
         async with pool_and_peer(connections=1) as (pool, peer):
