An answer to a request that is not written yet does not end it

An answer under the id of a request whose line still waited for the socket ended it as served with a body that no invoker made for it, and the line was written afterwards all the same.

Cause: InvokerLink.receive asked whether the id is open, not whether its line was handed over.

Change: such an answer is skipped, as one under an unknown id. Three tests of test_relay.py answered lines that had never been written, which no invoker can; they write them first and assert the same.

--- a/sprucespool/relay/lines.py
+++ b/sprucespool/relay/lines.py
@@ -239,7 +239,8 @@
         if read[body_end : body_end + len(LINE_END)] != LINE_END:
             raise LineError("expected a line's end after the body")
         tag = parts[0].decode()
-        kind = self.open.get(tag)
+        # Nobody can answer a request that was not handed to the socket: such an answer belongs to another.
+        kind = self.open.get(tag) if self.was_sent(tag) else None
         fields = self._fields(parts[2])
         if kind is None:
             self.skipped += 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -122,6 +122,11 @@
     link.run(tag, "call", "7f3a9c21e0b4d655", 1500.9, "ab" * 16, b"\r\n\x00")
 
 
+def write_all(link):
+    while link.more:
+        link.outgoing()
+
+
 @given(CUTS, st.binary(max_size=200))
 def test_answers_of_an_invoker_are_the_same_however_cut_with_duplicates_and_unknown_ids_between(cuts, body):
     link = ln.InvokerLink(lambda: 0.0)
@@ -130,6 +135,7 @@
         b"exec 9b1f03aa5c7e2d41 cls=call,item=7f3a9c21e0b4d655,limit=1500,nonce=" + b"ab" * 16 + b" 3\r\n\r\n\x00\r\n"
     )
     link.order("o1", "7f3a9c21e0b4d655", 2)
+    write_all(link)
     good = b"9b1f03aa5c7e2d41 HIT tell=rode,same=3,meter=util:0.5;x1:2 %d\r\n%b\r\n" % (len(body), body)
     data = b"ffff HIT - 2\r\nno\r\n" + good + good + b"o1 SHED n=1 0\r\n\r\n"
     answers = [answer for piece in pieces(data, cuts) for answer in link.receive(piece, 0.0)]
@@ -142,6 +148,7 @@
 def test_noise_from_an_invoker_raises_only_named_errors(data, cuts):
     link = ln.InvokerLink(lambda: 0.0)
     run(link)
+    write_all(link)
     try:
         assert [a for piece in pieces(data, cuts) for a in link.receive(piece, 0.0)] == []
     except ln.LineError as error:
@@ -162,14 +169,30 @@
     link = ln.InvokerLink(lambda: 0.0)
     run(link)
     link.probe("p1", True)
+    write_all(link)
     answers = link.receive(b"p1 PONG meter=util:0.1 0\r\n\r\n" + noise, 0.0)
     assert [answer.tag for answer in answers] == ["p1"] and link.read_error
     fresh = ln.InvokerLink(lambda: 0.0)
     run(fresh)
+    write_all(fresh)
     with pytest.raises(ln.LineError):
         fresh.receive(noise, 0.0)
 
 
+@pytest.mark.parametrize("withdrawn", [False, True])
+def test_an_answer_to_a_request_that_is_not_written_yet_does_not_end_it(withdrawn):
+    """Guards against: such an answer was passed on, and the line was written for nobody or could not be withdrawn."""
+    link = ln.InvokerLink(lambda: 0.0)
+    run(link)
+    answer = b"9b1f03aa5c7e2d41 HIT - 2\r\nok\r\n"
+    assert link.receive(answer, 0.0) == [] and link.skipped == 1
+    if withdrawn:
+        assert link.give_up("9b1f03aa5c7e2d41") is False and link.outgoing() == (b"", [])
+    else:
+        assert link.outgoing()[0].startswith(b"exec 9b1f03aa5c7e2d41 ")
+        assert [answer.body for answer in link.receive(answer, 0.0)] == [b"ok"]
+
+
 def test_an_abandoned_request_is_never_written_and_no_id_is_used_twice():
     link = ln.InvokerLink(lambda: 0.0)
     run(link)
