No waiting line is written to an invoker whose connection ends for invalid input

Callers saw: a request that may not be repeated was failed though no invoker had it, when the invoker it waited for took no bytes and sent what can't be read.

Cause: Wire.end hands the link's remaining output, here the next request's line, to the socket before it closes; the request then counts as perhaps run.

Change: Wire.abort_on_invalid_input, set on connections to invokers, ends them without more output.

Result: the new test in test_crossings.py answered the second request "failed" before; it is served after, and each request runs once.

--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -78,6 +78,8 @@
         self.requests: dict[str, InvokerRequest] = {}
         self.silent = False
         self.wire = Wire(self.link, self._on_events, self._on_lost, high_water=HIGH_WATER_BYTES)
+        # Its requests go elsewhere at once: none of their lines may still reach this invoker.
+        self.wire.abort_on_invalid_input = True
 
     def send(self, request: InvokerRequest):
         request.conn = self
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -39,6 +39,8 @@
         # therefore written after `delay` ms, and input is read for another `linger` ms. With `linger` 0 the connection
         # is closed as soon as the output is written.
         self.delay = self.linger = 0.0
+        # Whether invalid input ends the connection without writing the output that waits.
+        self.abort_on_invalid_input = False
         self.on_closed: Callable[[Wire], None] = lambda wire: None
         # Called when the system accepts no more bytes for now, and when it does again.
         self.on_paused: Callable[[Wire], None] = lambda wire: None
@@ -73,7 +75,7 @@
         try:
             events = self.link.receive(self._read_buffer[:nbytes], self.last_received_at)
         except LinkError as error:
-            return self.end(str(error))
+            return self.end(str(error), at_once=self.abort_on_invalid_input)
         if events:
             self.on_events(self, events)
         self.flush_soon()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -396,6 +396,29 @@
     run_scene(scene)
 
 
+def test_no_line_that_waits_is_written_to_an_invoker_whose_answer_is_invalid():
+    """Guards against: the next line was written while the connection ended, and the request counted as perhaps run."""
+
+    async def scene():
+        with faulty_sockets(Faults()) as faults:
+            one = InvokerStandIn()
+            async with Scene(one, settings=settings_of_all_effects()) as world:
+                faults.invoker_ports = {one.port}
+                client = await world.warmed()
+                faults.hold_sends = 10
+                second = request_frame(3, id="b" * 16, **{"class": "once"})
+                client.send(request_frame(2, id="a" * 16) + second)
+                await until(lambda: len(world.node.server.in_flight) == 2)
+                one.writers[-1].write(b"noise\r\n")
+                await asyncio.sleep(0.1)
+                faults.hold_sends = None
+                # Neither has reached the invoker, and that of the second is known: it may run elsewhere.
+                assert sorted(await client.answers(2)) == [(17, 2, 0), (17, 3, 0)]
+                assert sorted(one.runs()) == ["a" * 16, "b" * 16, "f" * 16]
+
+    run_scene(scene)
+
+
 # Errors of one request and the answers to others
 
 
