--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -412,7 +412,7 @@
                 one.writers[-1].write(b"noise\r\n")
                 await asyncio.sleep(0.1)
                 faults.hold_sends = None
-                # The second request was certainly not run, so it may be sent again although its class must not run twice.
+                # The second request was certainly not run: it may be sent again though its class must not run twice.
                 assert sorted(await client.answers(2)) == [(17, 2, 0), (17, 3, 0)]
                 assert sorted(one.runs()) == ["a" * 16, "b" * 16, "f" * 16]
 
