Half-received frames of clients are limited at each read, not each quarter of a second

Cause: ClientListener looked at the limit on incomplete frames once in 0.25 s; what the connections read in between had no limit.

Change: the connections of the listener share a BufferBudget, charged after each read, released when a frame is whole or its connection ends. The limit grows from 6 to 12% of the memory: an unfinished usual request on each connection that clients may hold fits.

--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 
 import h2.config
 import h2.connection
@@ -94,6 +95,15 @@
             RateBucket(limits.resets_per_second),
         )
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes kept of incomplete frames and messages."""
+        return len(self._unparsed) + sum(len(stream.partial) for stream in self.streams.values())
+
+    @property
+    def incomplete_since(self) -> float:
+        return math.inf
+
     # Receiving
 
     def receive(self, data: bytes | memoryview, now: float) -> list[Event]:
--- a/sprucespool/links.py
+++ b/sprucespool/links.py
@@ -30,6 +30,14 @@
     def more(self) -> bool:
         """Whether `outgoing` has more to write. Only true for links whose `outgoing` returns one message at a time."""
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes kept of incomplete input and of output that `outgoing` has not returned yet."""
+
+    @property
+    def incomplete_since(self) -> float:
+        """When (ms) the oldest incomplete message began; infinity if there is none."""
+
     def receive(self, data: memoryview, now: float) -> list[Any]:
         """Handles received data and returns its events.
 
--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -10,6 +10,7 @@
 from sprucespool.node.logs import Log
 from sprucespool.relay.frames import Cancellation, Event, FrameLink, ReadinessQuery, Request, RequestReader
 from sprucespool.transport.acceptor import Acceptor
+from sprucespool.transport.buffers import BufferBudget
 from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.wire import Wire
 
@@ -24,8 +25,8 @@
 HIGH_WATER_BYTES = 64 * 1024
 # Shares of the file descriptors: for client connections, and for those accepted on top in one loop iteration.
 CONNECTIONS_SHARE, BACKLOG_SHARE = 0.55, 0.15
-# Share of the memory for incomplete frames of all connections.
-HALF_RECEIVED_SHARE = 0.06
+# Share of the memory for what all connections buffer.
+BUFFERS_SHARE = 0.12
 
 
 class RequestHandler(Protocol):
@@ -48,8 +49,11 @@
         # How long the connection may have waited to be accepted; None once something was read.
         self._waited: float | None = waited
         self.link = FrameLink(listener.request_reader)
-        self.wire = Wire(self.link, self._on_events, self._on_lost, self._on_made, HIGH_WATER_BYTES)
+        self.wire = Wire(
+            self.link, self._on_events, self._on_lost, self._on_made, HIGH_WATER_BYTES, listener.buffer_budget
+        )
         self.wire.linger, self.wire.on_closed = LINGER_MS, self._on_closed
+        self.wire.on_buffers_full = self._on_buffers_full
         self.idle_since = self.wire.opened
         self.write_paused_since = 0.0
         # The handler's state of each open stream.
@@ -110,6 +114,9 @@
             self._cancel(stream)
         self.listener.connection_lost(self, why)
 
+    def _on_buffers_full(self, wire: Wire):
+        self.close_with_error("too many bytes of incomplete frames", self.listener.error_delay)
+
     def _on_closed(self, wire: Wire):
         self.listener.connection_closed(self)
 
@@ -162,7 +169,7 @@
         self.not_closed: dict[ClientConnection, None] = {}
         self.max_connections = max(16, int(CONNECTIONS_SHARE * sockets))
         self.backlog = max(16, int(BACKLOG_SHARE * sockets))
-        self.max_half_received_bytes = int(HALF_RECEIVED_SHARE * memory_mb * 2**20)
+        self.buffer_budget = BufferBudget(int(BUFFERS_SHARE * memory_mb * 2**20))
         self.accepted = self.evicted = self.cut = 0
         self.acceptor = Acceptor(
             lambda waited: ClientConnection(self, waited).wire, self.backlog, self._on_accept_error, possible_wait_ms
@@ -225,12 +232,9 @@
 
     def _check(self):
         self.timer = self.loop.call_later(CHECK_INTERVAL_SECONDS, self._check)
-        now, half_received_bytes = self.now(), 0
+        now = self.now()
         for connection in list(self.open):
-            half_received_bytes += len(connection.link.unparsed)
             connection.check(now)
-            if half_received_bytes > self.max_half_received_bytes and connection.link.unparsed:
-                connection.close_with_error("too many bytes of incomplete frames", self.error_delay)
 
     def announce_stop(self) -> None:
         """Ask clients to send no new requests. Requests that still arrive are answered, on new connections too."""
--- a/sprucespool/relay/feed.py
+++ b/sprucespool/relay/feed.py
@@ -61,6 +61,14 @@
         # When (ms) an event or a comment last ended with no incomplete event behind it; None before the first.
         self.current_at: float | None = None
 
+    @property
+    def buffered_bytes(self) -> int:
+        return len(self.partial_line) + sum(map(len, self.data))
+
+    @property
+    def incomplete_since(self) -> float:
+        return math.inf
+
     def outgoing(self, data_too: bool = True) -> tuple[bytes, list[ChannelEvent]]:
         out, self.out = self.out or b"", b""
         return out, []
--- a/sprucespool/relay/frames.py
+++ b/sprucespool/relay/frames.py
@@ -181,6 +181,14 @@
         self.last = b""
         self.unread = 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        return len(self.unparsed)
+
+    @property
+    def incomplete_since(self) -> float:
+        return self.unparsed.incomplete_since
+
     def receive(self, data: memoryview | bytes, now: float) -> list[Event]:
         """Return the events of all complete frames.
 
--- a/sprucespool/relay/lines.py
+++ b/sprucespool/relay/lines.py
@@ -117,6 +117,15 @@
         # The error that stopped parsing after valid answers were read.
         self.read_error: LineError | None = None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of an incomplete answer. Lines that wait belong to requests, which are counted where they are kept."""
+        return len(self.unparsed)
+
+    @property
+    def incomplete_since(self) -> float:
+        return self.unparsed.incomplete_since
+
     # Output
 
     @property
--- a/sprucespool/relay/unparsed.py
+++ b/sprucespool/relay/unparsed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 
 class UnparsedBytes:
     """Bytes of an incomplete message.
@@ -34,6 +36,11 @@
         if at or not self.data:
             self.data, self.since = bytearray(read[at:]), now
 
+    @property
+    def incomplete_since(self) -> float:
+        """When (ms) the incomplete message began; infinity if there is none."""
+        return self.since if self.data else math.inf
+
     def incomplete_for(self, now: float) -> float:
         """How long (ms) a message has been incomplete; 0 if there is none."""
         return now - self.since if self.data else 0.0
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from sprucespool.links import Link, LinkError
+from sprucespool.transport.buffers import BufferBudget
 from sprucespool.transport.read_buffer import read_buffer
 
 HIGH_WATER_BYTES = 256 * 1024
@@ -33,8 +34,9 @@
         on_lost: Callable[[Wire, str], None],
         on_made: Callable[[Wire], None] | None = None,
         high_water: int = HIGH_WATER_BYTES,
+        budget: BufferBudget | None = None,
     ):
-        self.high_water = high_water
+        self.high_water, self.budget = high_water, budget
         # Closing a connection with unread input resets it, which would discard the final output. The final output is
         # therefore written after `delay` ms, and input is read for another `linger` ms. With `linger` 0 the connection
         # is closed as soon as the output is written.
@@ -44,6 +46,8 @@
         self.on_closed: Callable[[Wire], None] = lambda wire: None
         # Called when the system accepts no more bytes for now, and when it does again.
         self.on_paused: Callable[[Wire], None] = lambda wire: None
+        # Called when the connections of this kind buffer too much and this one is the next to go.
+        self.on_buffers_full: Callable[[Wire], None] = lambda wire: wire.end("buffers are full", at_once=True)
         # Bytes written to the transport, and the part of them written while writing was paused.
         self.written_bytes = self._written_while_paused = 0
         self.link, self.on_events, self.on_lost, self.on_made = link, on_events, on_lost, on_made
@@ -78,8 +82,27 @@
             return self.end(str(error), at_once=self.abort_on_invalid_input)
         if events:
             self.on_events(self, events)
+        self._count_buffers()
         self.flush_soon()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of incomplete input."""
+        return self.link.buffered_bytes
+
+    @property
+    def buffered_since(self) -> float:
+        """When (ms) the peer last left its message incomplete; infinity if it did not."""
+        return self.link.incomplete_since
+
+    def end_to_free_buffers(self) -> None:
+        """Ends the connection."""
+        self.on_buffers_full(self)
+
+    def _count_buffers(self):
+        if self.budget is not None:
+            self.budget.update(self)
+
     def flush_soon(self) -> None:
         if not self.scheduled and not self.lost:
             self.scheduled = True
@@ -140,6 +163,7 @@
             self.lost = True
             self.on_lost(self, why)
             self.link.forget()
+            self._count_buffers()
 
     def end(self, why: str, at_once: bool = False) -> None:
         """Write the remaining output and close the connection; `at_once` discards the output."""
--- /dev/null
+++ b/tests/test_memory_bounds.py
@@ -0,0 +1,142 @@
+"""What peers make a controller keep stays far below its memory limit, and usual clients are served meanwhile."""
+
+import asyncio
+import json
+import subprocess
+import tempfile
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from platform_scene import ChannelStandIn, InvokerStandIn, controller_process, cut_frames, entry, listening_port, until
+from platform_world import configuration, frame, request_frame
+
+pytestmark = pytest.mark.sockets
+
+MEMORY_MB, SOCKETS = 64, 1024
+# Above this share of its memory limit, a controller keeps something that no limit counts.
+MAX_SHARE = 0.8
+# A third of the descriptors, as the platform allows clients, without the usual ones.
+BAD_CLIENTS = 336
+LARGEST_FRAME = 262_144
+
+
+def own_memory_mb(pid: int) -> float:
+    """The memory of the process that it shares with no other."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return next(int(line.split()[1]) / 1024 for line in status.splitlines() if line.startswith("RssAnon"))
+
+
+class Platform:
+    """A controller process with its peers on loopback; its highest memory is recorded."""
+
+    def __init__(self, process: subprocess.Popen, port: int, invokers: list[InvokerStandIn], channel: ChannelStandIn):
+        self.process, self.port, self.invokers, self.channel = process, port, invokers, channel
+        self.highest_mb = 0.0
+        self.codes: list[int] = []
+        self.asked = 0
+
+    async def watch_memory(self):
+        while self.process.poll() is None:
+            self.highest_mb = max(self.highest_mb, own_memory_mb(self.process.pid))
+            await asyncio.sleep(0.002)
+
+    async def ask_as_usual_client(self, body: bytes = b"small"):
+        """Ask for one request after another on one connection."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        data = b""
+        while True:
+            self.asked += 1
+            writer.write(request_frame(self.asked, body, id=f"{self.asked:016x}"))
+            while not data or not (found := cut_frames(data))[0]:
+                chunk = await reader.read(65_536)
+                if not chunk:
+                    return
+                data += chunk
+            frames, data = found
+            self.codes += [code for _, _, code in frames]
+            await asyncio.sleep(0.02)
+
+    def check(self, least_answers: int = 20):
+        assert self.process.poll() is None
+        assert self.highest_mb < MAX_SHARE * MEMORY_MB
+        assert len(self.codes) >= max(least_answers, self.asked - 1) and set(self.codes) == {0}
+
+
+@asynccontextmanager
+async def platform(*invokers: InvokerStandIn, memory_mb: int = MEMORY_MB):
+    """A controller process; on exit its memory and the answers to the usual client are checked."""
+    channel = await ChannelStandIn().start()
+    for invoker in invokers:
+        await invoker.start()
+    hosts = [(f"s-{n}", one.port, "up") for n, one in enumerate(invokers)]
+    config = configuration(
+        channel=f"127.0.0.1:{channel.port}",
+        known={"cursor": 1, "cmds": [entry(1, *hosts, whole=True)]},
+        limits={"cores": 1.0, "memory_mb": memory_mb, "sockets": SOCKETS},
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        path, log = Path(folder) / "config.json", Path(folder) / "log"
+        path.write_text(json.dumps(config))
+        with log.open("w") as stderr:
+            process = controller_process(path, stderr=stderr)
+        tasks = []
+        try:
+            await until(lambda: "listening" in log.read_text() and channel.writers, 20.0)
+            await asyncio.sleep(0.2)
+            world = Platform(process, listening_port(log.read_text()), list(invokers), channel)
+            tasks = [asyncio.create_task(world.watch_memory()), asyncio.create_task(world.ask_as_usual_client())]
+            await until(lambda: world.codes, 5.0)
+            yield world
+            print(f"highest memory: {world.highest_mb:.1f} MB of {memory_mb}")
+            world.check()
+        finally:
+            for task in tasks:
+                task.cancel()
+            process.kill()
+            process.wait()
+            channel.close()
+            for invoker in invokers:
+                invoker.close()
+
+
+async def bad_client(port: int, act: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]):
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            await act(reader, writer)
+        finally:
+            writer.transport.abort()
+    except OSError:
+        pass
+
+
+async def bad_clients(count: int, seconds: float, port: int, act: Callable):
+    """Bad clients that come again at once when they are turned away."""
+
+    async def come_again():
+        while True:
+            await bad_client(port, act)
+
+    tasks = [asyncio.create_task(come_again()) for _ in range(count)]
+    await asyncio.sleep(seconds)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@pytest.mark.parametrize("size", [LARGEST_FRAME - 1000, 16_000])
+def test_frames_that_never_end_stay_within_the_limit_on_buffers(size):
+    """Guards against: half-received frames were looked at every 0.25 s only; what was read in between had no limit."""
+
+    async def act(reader, writer):
+        writer.write(frame(16, 1, bytes(LARGEST_FRAME - 5))[:size])
+        while await reader.read(65_536):
+            pass
+
+    async def scene():
+        async with platform(InvokerStandIn()) as world:
+            await bad_clients(BAD_CLIENTS, 3.0, world.port, act)
+
+    asyncio.run(scene())
