Attempts that have ended are freed at once, with the bodies of their answers

Cause: an attempt and its request to the invoker refer to each other through on_end, a cycle that waits for the garbage collector (20,000 objects, after that thousands of runs). It keeps the answer's body.

Change: InvokerRequest lets go of its callbacks when it ends or is cancelled.

--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -25,6 +25,19 @@
 MAX_TAGS_PER_CONNECTION = 20_000
 
 
+def _write_nothing(link: InvokerLink) -> None:
+    """Replaces `write` of a request that has ended."""
+
+
+def _ignore_end(result: Answer | it.Outcome) -> None:
+    """Replaces `on_end` of a request that has ended."""
+
+
+def _is_not_wanted() -> bool:
+    """Replaces `is_wanted` of a request that has ended."""
+    return False
+
+
 class InvokerRequest:
     """A request to the invoker.
 
@@ -58,18 +71,24 @@
     def end(self, result: Answer | it.Outcome) -> None:
         if self.ended:
             return
-        self.ended = True
+        on_end = self.on_end
+        self._release()
         try:
-            self.on_end(result)
+            on_end(result)
         except Exception as error:  # must not keep the other requests of the connection from their ends
             report_unexpected(f"end of request {self.tag} to an invoker", error)
 
     def cancel(self) -> None:
         if not self.ended:
-            self.ended = True
+            self._release()
             if self.conn is not None:
                 self.conn.cancel(self)
 
+    def _release(self):
+        """Let go of the caller, which refers to this request: bodies must not wait for the garbage collector."""
+        self.ended = True
+        self.write, self.on_end, self.is_wanted = _write_nothing, _ignore_end, _is_not_wanted
+
 
 class _Conn:
     def __init__(self, invoker: Invoker, slot: Slot):
--- /dev/null
+++ b/tests/test_released_memory.py
@@ -0,0 +1,51 @@
+"""What has ended is freed at once: reference cycles would keep its bytes until the garbage collector runs."""
+
+import asyncio
+import gc
+from contextlib import contextmanager
+
+import pytest
+from platform_scene import InvokerStandIn, Scene, run_scene
+from platform_world import request_frame
+
+from sprucespool.node.gateway_server import _Forward
+from sprucespool.node.invokers import InvokerRequest
+
+pytestmark = pytest.mark.sockets
+
+
+@contextmanager
+def no_garbage_collector():
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
+
+
+def alive(*kinds: type) -> int:
+    return sum(type(one) in kinds for one in gc.get_objects())
+
+
+@pytest.mark.parametrize("cancelled", [False, True])
+def test_attempts_that_ended_are_freed(cancelled):
+    """Guards against: attempt and request to the invoker referred to each other, and kept the body of the answer."""
+
+    async def scene():
+        async with Scene(InvokerStandIn()) as world:
+            client = await world.warmed()
+            with no_garbage_collector():
+                before = alive(_Forward, InvokerRequest)
+                world.invokers[0].behave = (lambda tag: None) if cancelled else world.invokers[0].behave
+                client.send(b"".join(request_frame(n, id=f"{n:016x}") for n in range(2, 12)))
+                if cancelled:
+                    await asyncio.sleep(0.2)
+                    client.close()
+                else:
+                    assert len(await client.answers(10)) == 10
+                await asyncio.sleep(0.2)
+                assert len(world.invokers[0].runs()) > 4
+                assert alive(_Forward, InvokerRequest) == before
+
+    run_scene(scene)
