Answers that clients do not read are limited together, until their socket is closed

Cause: output had a limit of 1 MB for each connection and none for all; what a connection still had to write after its end (error held back, lingering) was counted nowhere.

Change: Wire.buffered_bytes tells all incomplete input and unwritten output until the socket is closed, and the listener's BufferBudget counts it; connections that have ended go first, then the one that has not read for longest. The share is 10% of the memory, as that holds an unfinished usual request for each of 341 connections at 64 MB. Output waits in one byte array in place of a list of frames.

--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -26,7 +26,7 @@
 # Shares of the file descriptors: for client connections, and for those accepted on top in one loop iteration.
 CONNECTIONS_SHARE, BACKLOG_SHARE = 0.55, 0.15
 # Share of the memory for what all connections buffer.
-BUFFERS_SHARE = 0.12
+BUFFERS_SHARE = 0.10
 
 
 class RequestHandler(Protocol):
@@ -115,7 +115,10 @@
         self.listener.connection_lost(self, why)
 
     def _on_buffers_full(self, wire: Wire):
-        self.close_with_error("too many bytes of incomplete frames", self.listener.error_delay)
+        if wire.paused:
+            wire.end("too many bytes of unread answers", at_once=True)
+        else:
+            self.close_with_error("too many bytes of incomplete frames", self.listener.error_delay)
 
     def _on_closed(self, wire: Wire):
         self.listener.connection_closed(self)
--- a/sprucespool/relay/frames.py
+++ b/sprucespool/relay/frames.py
@@ -176,14 +176,13 @@
         self.unparsed = UnparsedBytes()
         self.open: set[int] = set()
         self.highest = self.frames = 0
-        self.out: list[bytes] = []
+        self.out = bytearray()
         # Final error frames, sent even to a client that is slow to read its answers.
         self.last = b""
-        self.unread = 0
 
     @property
     def buffered_bytes(self) -> int:
-        return len(self.unparsed)
+        return len(self.unparsed) + len(self.out) + len(self.last)
 
     @property
     def incomplete_since(self) -> float:
@@ -258,9 +257,7 @@
         self.open.clear()
 
     def _write(self, kind: int, stream: int, payload: bytes):
-        frame = _frame(kind, stream, payload)
-        self.unread += len(frame)
-        self.out.append(frame)
+        self.out += _frame(kind, stream, payload)
 
     def _answer(self, stream: int, payload: bytes):
         if stream not in self.open:
@@ -287,11 +284,11 @@
 
     def outgoing(self, data_too: bool = True) -> tuple[bytes, list[Event]]:
         last, self.last = self.last, b""
-        if not data_too and self.unread <= MAX_UNREAD_BYTES:
+        if not data_too and len(self.out) <= MAX_UNREAD_BYTES:
             return last, []
-        out, self.out, self.unread = b"".join(self.out), [], 0
-        return out + last, []
+        out, self.out = self.out, bytearray()
+        return bytes(out) + last, []
 
     def forget(self) -> None:
-        self.unparsed, self.out = UnparsedBytes(), []
+        self.unparsed, self.out = UnparsedBytes(), bytearray()
         self.open.clear()
--- a/sprucespool/transport/buffers.py
+++ b/sprucespool/transport/buffers.py
@@ -1,4 +1,4 @@
-"""Limits what the connections of one kind buffer together."""
+"""Limits what the connections of one kind buffer together: incomplete input and output that waits."""
 
 from __future__ import annotations
 
@@ -12,23 +12,27 @@
 class BufferingConnection(Protocol):
     """A connection whose buffers a budget counts."""
 
+    @property
+    def lost(self) -> bool:
+        """Whether the connection has ended, except for output that is still to be written."""
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of all buffers of the connection."""
 
     @property
     def buffered_since(self) -> float:
-        """When (ms) the peer last left its message incomplete; infinity if it did not."""
+        """When (ms) the peer last left its message incomplete or stopped reading; infinity if it did neither."""
 
     def end_to_free_buffers(self) -> None:
-        """Ends the connection."""
+        """Ends the connection; one that was lost already discards the output that is still to be written."""
 
 
 class BufferBudget:
     """Counts the bytes that the connections of one kind buffer, and ends connections when they exceed `max_bytes`.
 
-    Ended first: those that buffer over SMALL_BUFFER_BYTES, then the others; of each kind the one whose message has been
-    incomplete for longest.
+    Of those that buffer over SMALL_BUFFER_BYTES, first the lost ones end, then those that have been incomplete or unread
+    for longest; the others follow in the same order.
     """
 
     def __init__(self, max_bytes: int):
@@ -53,12 +57,15 @@
         return size
 
     def _free(self):
+        # Output that the system accepted since the last update is not counted any more.
+        for connection in list(self._buffered):
+            self._count(connection)
         while self.used > self.max_bytes:
             connection = min(self._buffered, key=self._rank)
             self.ended += 1
             connection.end_to_free_buffers()
             self._count(connection)
 
-    def _rank(self, connection: BufferingConnection) -> tuple[bool, float]:
+    def _rank(self, connection: BufferingConnection) -> tuple[bool, bool, float]:
         large = self._buffered[connection] > SMALL_BUFFER_BYTES
-        return not large, connection.buffered_since
+        return not large, not connection.lost, connection.buffered_since
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -56,6 +57,10 @@
         self._read_buffer = read_buffer()
         self.transport: asyncio.Transport | None = None
         self.paused, self.scheduled, self.lost = False, False, False
+        # Since when (ms) the system accepts no more bytes; infinity while it does.
+        self._paused_since = math.inf
+        # The output that is written when `delay` has passed.
+        self._final_output = b""
         self.opened = self.last_received_at = self.loop.time() * 1000.0
         self.why = ""
         # Whether this side ended the connection.
@@ -87,17 +92,22 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Bytes of incomplete input."""
-        return self.link.buffered_bytes
+        """Bytes of incomplete input and of output that the system has not accepted yet."""
+        unwritten = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        return self.link.buffered_bytes + len(self._final_output) + unwritten
 
     @property
     def buffered_since(self) -> float:
-        """When (ms) the peer last left its message incomplete; infinity if it did not."""
-        return self.link.incomplete_since
+        """When (ms) the peer last left its message incomplete or stopped reading; infinity if it did neither."""
+        return min(self.link.incomplete_since, self._paused_since)
 
     def end_to_free_buffers(self) -> None:
-        """Ends the connection."""
-        self.on_buffers_full(self)
+        """Ends the connection; one that was lost already discards the output that is still to be written."""
+        if not self.lost:
+            return self.on_buffers_full(self)
+        self._final_output = b""
+        if self.transport is not None:
+            self.transport.abort()
 
     def _count_buffers(self):
         if self.budget is not None:
@@ -114,6 +124,10 @@
 
     def flush(self) -> None:
         """Write all pending output of the link, message by message if the link returns one at a time."""
+        self._write_pending()
+        self._count_buffers()
+
+    def _write_pending(self):
         while not self.lost and self.transport is not None:
             out, drained = self.link.outgoing(data_too=not self.paused)
             if out:
@@ -141,11 +155,12 @@
         return self.written_bytes - (self.transport.get_write_buffer_size() if self.transport is not None else 0)
 
     def pause_writing(self) -> None:
-        self.paused = True
+        self.paused, self._paused_since = True, self.loop.time() * 1000.0
         self.on_paused(self)
 
     def resume_writing(self) -> None:
-        self.paused, self._written_while_paused = False, 0
+        self.paused, self._written_while_paused, self._paused_since = False, 0, math.inf
+        self._count_buffers()
         self.on_paused(self)
         self.flush_soon()
 
@@ -156,6 +171,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._report_lost(self.why or (f"{type(exc).__name__}: {exc}" if exc else "closed by the peer"))
+        self._final_output = b""
+        self._count_buffers()
         self.on_closed(self)
 
     def _report_lost(self, why: str):
@@ -182,18 +199,21 @@
         assert self.transport is not None
         if self.linger and self.delay:
             self.transport.pause_reading()
-            self.loop.call_later(self.delay / 1000.0, self._write_final, out)
+            self._final_output = out
+            self.loop.call_later(self.delay / 1000.0, self._write_final)
         elif self.linger:
-            self._write_final(out)
+            self._final_output = out
+            self._write_final()
         else:
             self.transport.write(out)
             self.transport.close()
             # A peer that never reads must not keep the socket open: output still unwritten by then is discarded.
             self.loop.call_later(1.0, self.transport.abort)
 
-    def _write_final(self, out: bytes):
+    def _write_final(self):
         if self.transport is None or self.transport.is_closing():
             return
+        out, self._final_output = self._final_output, b""
         self.transport.write(out)
         self.transport.write_eof()
         self.transport.resume_reading()
