A connection ends when its shutdown fails, as where the peer is gone

Where a client is gone when its error is written, shutdown fails with ENOTCONN: the connection kept its descriptor, unread, until the process ended.

Cause: Wire._write_final runs in a timer; write_eof raised before reading was resumed and before the timer of the end was set, and no check looks at a connection that has left the listener's list.

Change: the timer of the end is set first, and an error ends the connection at once.

--- a/sprucespool/transport/buffers.py
+++ b/sprucespool/transport/buffers.py
@@ -31,8 +31,8 @@
 class BufferBudget:
     """Counts the bytes that the connections of one kind buffer, and ends connections when they exceed `max_bytes`.
 
-    Of those that buffer over SMALL_BUFFER_BYTES, first the lost ones end, then those that have been incomplete or unread
-    for longest; the others follow in the same order.
+    Of those that buffer over SMALL_BUFFER_BYTES, first the lost ones end, then those that have been incomplete or
+    unread for longest; the others follow in the same order.
     """
 
     def __init__(self, max_bytes: int):
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -211,10 +211,15 @@
             self.loop.call_later(1.0, self.transport.abort)
 
     def _write_final(self):
-        if self.transport is None or self.transport.is_closing():
+        transport = self.transport
+        if transport is None or transport.is_closing():
             return
+        # Set first: the connection ends whatever becomes of its final output.
+        self.loop.call_later(self.linger / 1000.0, transport.abort)
         out, self._final_output = self._final_output, b""
-        self.transport.write(out)
-        self.transport.write_eof()
-        self.transport.resume_reading()
-        self.loop.call_later(self.linger / 1000.0, self.transport.abort)
+        try:
+            transport.write(out)
+            transport.write_eof()
+            transport.resume_reading()
+        except OSError:  # the peer is gone: nobody would read the final output
+            transport.abort()
--- a/tests/faulty_sockets.py
+++ b/tests/faulty_sockets.py
@@ -150,6 +150,10 @@
         self.written.note(bytes(data[:taken]))
         return taken
 
+    def shutdown(self, how):
+        self._fault("shutdown")
+        return super().shutdown(how)
+
     def recv_into(self, buffer, nbytes=0, flags=0):
         short = self._fault("recv") is not None
         return super().recv_into(buffer, 1 if short else nbytes, flags)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -9,7 +9,7 @@
 import pytest
 from faulty_sockets import ERRORS, HARMLESS, Faults, faulty_sockets
 from platform_scene import InvokerStandIn, RawClient, Scene, entry, event, hit, run_scene, until
-from platform_world import request_frame, settings_of_all_effects
+from platform_world import frame, request_frame, settings_of_all_effects
 
 from sprucespool.transport.clock import AnchoredClock
 from sprucespool.node.serve import start_with_retries
@@ -57,6 +57,23 @@
     run_scene(scene)
 
 
+@pytest.mark.parametrize("error", [errno.ENOTCONN, errno.ECONNRESET, errno.EPIPE])
+def test_a_connection_ends_when_its_shutdown_fails(error):
+    """Guards against: the peer was gone as the error was written; reading stayed paused and no timer was set."""
+
+    async def scene():
+        with faulty_sockets(Faults()) as faults:
+            async with Scene(InvokerStandIn(), begin=faults.begin) as world:
+                listener = world.node.server.listener
+                faults.planned = {("client", "shutdown", faults.counts["client", "shutdown"] + 1): error}
+                client = await world.client()
+                client.send(frame(99, 0))
+                await until(lambda: not listener.open and faults.injected)
+                await until(lambda: not listener.not_closed, 0.5)
+
+    run_scene(scene)
+
+
 @pytest.mark.parametrize("reset", [False, True])
 def test_a_client_that_left_while_it_waited_to_be_accepted_gets_no_attempt(reset):
     async def scene():
