Closed connections are freed at once: timers cancelled, callbacks let go

Callers saw: nothing yet; clients that came again at once left the objects of each connection behind for 1.5 s and then until the garbage collector ran, counted by no limit.

Cause: the timer that ends a lingering connection outlived it, and Wire, its owner and its transport refer to each other.

Change: a closed Wire cancels its timer and lets go of callbacks and transport.

--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -21,6 +21,18 @@
     return asyncio.get_running_loop().time() * 1000.0
 
 
+def _ignore_events(wire: Wire, events: list[Any]) -> None:
+    """Replaces `on_events` of a closed connection."""
+
+
+def _ignore_lost(wire: Wire, why: str) -> None:
+    """Replaces `on_lost` of a closed connection."""
+
+
+def _ignore_wire(wire: Wire) -> None:
+    """Replaces the other callbacks of a closed connection."""
+
+
 class Wire(asyncio.BufferedProtocol):
     """Passes received bytes to a link and writes the output of the link, once per event loop iteration.
 
@@ -59,8 +71,10 @@
         self.paused, self.scheduled, self.lost = False, False, False
         # Since when (ms) the system accepts no more bytes; infinity while it does.
         self._paused_since = math.inf
-        # The output that is written when `delay` has passed.
+        # The output that is written when `delay` has passed, and the timer of the next step of the close.
         self._final_output = b""
+        self._close_timer: asyncio.TimerHandle | None = None
+        self._close_timer: asyncio.TimerHandle | None = None
         self.opened = self.last_received_at = self.loop.time() * 1000.0
         self.why = ""
         # Whether this side ended the connection.
@@ -173,7 +187,17 @@
         self._report_lost(self.why or (f"{type(exc).__name__}: {exc}" if exc else "closed by the peer"))
         self._final_output = b""
         self._count_buffers()
-        self.on_closed(self)
+        if self._close_timer is not None:
+            self._close_timer.cancel()
+        on_closed = self.on_closed
+        self._release()
+        on_closed(self)
+
+    def _release(self):
+        """Let go of the owner and the transport, which refer to this: none must wait for the garbage collector."""
+        self.transport = self._close_timer = self.on_made = None
+        self.on_events, self.on_lost = _ignore_events, _ignore_lost
+        self.on_closed = self.on_paused = self.on_buffers_full = _ignore_wire
 
     def _report_lost(self, why: str):
         if not self.lost:
@@ -200,7 +224,7 @@
         if self.linger and self.delay:
             self.transport.pause_reading()
             self._final_output = out
-            self.loop.call_later(self.delay / 1000.0, self._write_final)
+            self._close_timer = self.loop.call_later(self.delay / 1000.0, self._write_final)
         elif self.linger:
             self._final_output = out
             self._write_final()
@@ -208,14 +232,14 @@
             self.transport.write(out)
             self.transport.close()
             # A peer that never reads must not keep the socket open: output still unwritten by then is discarded.
-            self.loop.call_later(1.0, self.transport.abort)
+            self._close_timer = self.loop.call_later(1.0, self.transport.abort)
 
     def _write_final(self):
         transport = self.transport
         if transport is None or transport.is_closing():
             return
         # Set first: the connection ends whatever becomes of its final output.
-        self.loop.call_later(self.linger / 1000.0, transport.abort)
+        self._close_timer = self.loop.call_later(self.linger / 1000.0, transport.abort)
         out, self._final_output = self._final_output, b""
         try:
             transport.write(out)
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -5,11 +5,15 @@
 from contextlib import contextmanager
 
 import pytest
-from platform_scene import InvokerStandIn, Scene, run_scene
-from platform_world import request_frame
+from platform_scene import InvokerStandIn, Scene, run_scene, until
+from platform_world import frame, request_frame
 
+from sprucespool.node.clients import ClientConnection
 from sprucespool.node.gateway_server import _Forward
 from sprucespool.node.invokers import InvokerRequest
+from sprucespool.relay.frames import FrameLink
+from sprucespool.relay.unparsed import UnparsedBytes
+from sprucespool.transport.wire import Wire
 
 pytestmark = pytest.mark.sockets
 
@@ -49,3 +53,22 @@
                 assert alive(_Forward, InvokerRequest) == before
 
     run_scene(scene)
+
+
+def test_connections_that_closed_are_freed():
+    """Guards against: the timer of a close that was over, and callbacks, kept clients that come again for 1.5 s."""
+
+    async def scene():
+        async with Scene(InvokerStandIn()) as world:
+            with no_garbage_collector():
+                before = alive(ClientConnection, Wire, FrameLink, UnparsedBytes)
+                for _ in range(10):
+                    client = await world.client()
+                    client.send(frame(99, 0))
+                    assert await client.answers(1) == [(17, 0, 2)]
+                    client.close()
+                await until(lambda: not world.node.server.listener.not_closed)
+                await asyncio.sleep(0.05)
+                assert alive(ClientConnection, Wire, FrameLink, UnparsedBytes) == before
+
+    run_scene(scene)
