Errors of links are kept as text: a traceback kept all bytes that were read

Callers saw: nothing yet; each answer of an invoker that can't be read left up to 256 KB and its connection behind until the garbage collector ran.

Cause: the links kept the error; its traceback refers to the bytes read and to the link, a cycle.

Change: InvokerLink and the gRPC link keep the text, only where answers came before the error.

--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -85,8 +85,8 @@
         self.starved: dict[int, None] = {}
         self.unsent = 0
         self.leaving, self.peer_leaving, self.dead = False, False, ""
-        # Client: the error that stopped a read after valid events; the connection must end once they are handled.
-        self.read_error: LinkError | None = None
+        # Client: why a read stopped after valid events; the connection must end once they are handled.
+        self.read_error = ""
         self.highest = 0
         self._unparsed = b""
         self._preface = len(PREFACE) if server else 0
@@ -118,7 +118,7 @@
         except LinkError as error:
             if self.server or not events:
                 raise
-            self.read_error = error
+            self.read_error = str(error)
         return events
 
     def _receive(self, data: bytes | memoryview, now: float, events: list[Event]):
--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -153,7 +153,7 @@
                 request.end(answer)
         self.note()
         if self.link.read_error:
-            wire.end(str(self.link.read_error), at_once=True)
+            wire.end(self.link.read_error, at_once=True)
         elif self.slot.room > 0:
             self.invoker.place_soon()
 
--- a/sprucespool/relay/lines.py
+++ b/sprucespool/relay/lines.py
@@ -114,8 +114,8 @@
         self.last_written = ""
         self.one_way_lines: list[bytes] = []
         self.skipped = 0
-        # The error that stopped parsing after valid answers were read.
-        self.read_error: LineError | None = None
+        # Why parsing stopped after valid answers were read; only the text, as an error keeps all that was read.
+        self.read_error = ""
 
     @property
     def buffered_bytes(self) -> int:
@@ -219,9 +219,9 @@
                     answers.append(answer)
         except LineError as error:
             # Answers read before the invalid input are valid: they must not count as interrupted.
-            self.read_error = error
             if not answers:
                 raise
+            self.read_error = str(error)
         self.unparsed.keep_from(read, at, now)
         return answers
 
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -162,8 +162,8 @@
                     del self.calls[event.stream]
                 call.end(event)  # type: ignore[arg-type]
         self.note()
-        if self.link.read_error is not None:
-            wire.end(str(self.link.read_error))
+        if self.link.read_error:
+            wire.end(self.link.read_error)
         elif self.link.peer_leaving and not self.calls:
             wire.end("the peer is going away")
         elif self.slot.ready and self.slot.room > 0:
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -12,6 +12,7 @@
 from sprucespool.node.gateway_server import _Forward
 from sprucespool.node.invokers import InvokerRequest
 from sprucespool.relay.frames import FrameLink
+from sprucespool.relay.lines import InvokerLink, LineError
 from sprucespool.relay.unparsed import UnparsedBytes
 from sprucespool.transport.wire import Wire
 
@@ -72,3 +73,22 @@
                 assert alive(ClientConnection, Wire, FrameLink, UnparsedBytes) == before
 
     run_scene(scene)
+
+
+def test_a_connection_to_an_invoker_that_closed_is_freed():
+    """Guards against: an answer that can't be read kept what was read with it, and its connection."""
+
+    async def scene():
+        async with Scene(InvokerStandIn(lambda tag: bytes(100_000))) as world:
+            client = await world.client()
+            with no_garbage_collector():
+                before = alive(Wire, InvokerLink, LineError)
+                for number in range(1, 5):
+                    client.send(request_frame(number, id=f"{number:016x}", wait="300"))
+                    await asyncio.sleep(0.1)
+                client.close()
+                await asyncio.sleep(0.5)
+                assert world.invokers[0].connections > 2
+                assert alive(Wire, InvokerLink, LineError) <= before
+
+    run_scene(scene)
