A cancelled request leaves the queue for a connection at once, with its body

Callers saw: nothing yet.

Cause: cancel marked the request as over; the queue dropped it when its turn came.

Change: it leaves the queue at once (Opener.withdraw); the queue is an ordered dictionary. Also taken out: an attribute of Wire that was declared twice.

--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -84,6 +84,8 @@
             self._release()
             if self.conn is not None:
                 self.conn.cancel(self)
+            else:
+                self.invoker.withdraw(self)
 
     def _release(self):
         """Let go of the caller, which refers to this request: bodies must not wait for the garbage collector."""
@@ -216,11 +218,11 @@
         if not self.accepting:
             self.loop.call_soon(request.end, it.Outcome.NOT_SENT)
             return request
-        self.waiting.append(request)
+        self.waiting[request] = None
         if len(self.waiting) == 1:
             self.place_now()
         elif len(self.waiting) > self.plan.limits.waiting:
-            self.waiting.pop()
+            self.withdraw(request)
             self.loop.call_soon(request.end, it.Outcome.UNCONNECTED)
         return request
 
@@ -235,8 +237,7 @@
     def stop_sending(self) -> None:
         """The invoker drains or has left: requests that are not written yet are never sent."""
         self.accepting = False
-        unsent = list(self.waiting)
-        self.waiting.clear()
+        unsent = self.take_waiting()
         for conn in list(self.conns.values()):
             unsent += conn.withdraw_unsent()
         for request in unsent:
@@ -245,7 +246,7 @@
     def place_waiting(self) -> None:
         while self.waiting:
             # Removed from the queue before it is written: an event handled during the write may place the next one.
-            request = self.waiting.popleft()
+            request, _ = self.waiting.popitem(last=False)
             if request.ended or not request.is_wanted():
                 continue
             slot, opens, why = self._choose_slot(request)
@@ -255,7 +256,8 @@
                 # Ended in the next loop iteration: the caller does not hold the request object yet.
                 self.loop.call_soon(request.end, it.Outcome.UNCONNECTED)
             else:
-                self.waiting.appendleft(request)
+                self.waiting[request] = None
+                self.waiting.move_to_end(request, last=False)
                 if opens:
                     self.open()
                 return
--- a/sprucespool/transport/opener.py
+++ b/sprucespool/transport/opener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import OrderedDict
 from typing import Generic, Protocol, TypeVar
 
 from sprucespool.transport.errors import TRANSIENT_ERRORS, TRANSIENT_RETRY_SECONDS
@@ -40,7 +40,8 @@
         self.plan = PoolPlan(limits, seed)
         self.loop = asyncio.get_running_loop()
         self.conns: dict[Slot, Conn] = {}
-        self.waiting: deque[Call] = deque()
+        # Calls that wait for a connection, in order of arrival.
+        self.waiting: OrderedDict[Call, None] = OrderedDict()
         self.opening: set[asyncio.Task] = set()
         self.closed = False
 
@@ -69,6 +70,16 @@
         if not self.closed:
             self.place_waiting()
 
+    def withdraw(self, call: Call) -> None:
+        """Forget a call that was cancelled: neither its place in the queue nor its message must be kept."""
+        self.waiting.pop(call, None)
+
+    def take_waiting(self) -> list[Call]:
+        """Remove and return all calls that wait for a connection."""
+        calls = list(self.waiting)
+        self.waiting.clear()
+        return calls
+
     def fail_unconnected(self, call: Call, why: str) -> None:
         """End a call for which no connection could be opened."""
         raise NotImplementedError
@@ -99,8 +110,7 @@
             self.plan.backoff.failed(self.now())
             self.on_connect_failed(why)
             if not any(not other.ready for other in self.plan.slots):
-                calls, self.waiting = list(self.waiting), deque()
-                for call in calls:
+                for call in self.take_waiting():
                     self.fail_unconnected(call, why)
             return
         if self.closed or conn.wire.lost:
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -76,7 +75,9 @@
         if self.over:
             return
         self.over = True
-        if self.conn is not None:
+        if self.conn is None:
+            self.pool.withdraw(self)
+        else:
             self.conn.forget(self.stream)
             self.conn.link.reset(self.stream)
             self.conn.wire.flush_soon()
@@ -210,7 +211,7 @@
         call = PoolCall(self, path, metadata, None if timeout is None else now + timeout, message, on_event)
         slot, should_open, why = self.plan.place(now, len(self.waiting))
         if slot is not None and self.pace is not None and self.pace.stalled:
-            self.waiting.append(call)
+            self.waiting[call] = None
             self.place_soon()
         elif slot is not None:
             self.conns[slot].begin(call, now)
@@ -218,38 +219,34 @@
             # Reported in the next loop iteration, since the caller does not have the call object yet.
             self.loop.call_soon(call.end, Unconnected(why or "the pool is closed"))
         else:
-            self.waiting.append(call)
+            self.waiting[call] = None
             if should_open:
                 self.open()
         return call
 
     def withdraw_waiting(self, why: str) -> None:
         """Fail all calls that wait for a connection, because no new calls may be sent to this address."""
-        calls, self.waiting = list(self.waiting), deque()
-        for call in calls:
+        for call in self.take_waiting():
             call.end(Unconnected(why))
 
     def place_waiting(self) -> None:
         while self.waiting:
-            call = self.waiting[0]
-            if call.over:
-                self.waiting.popleft()
-                continue
+            call = next(iter(self.waiting))
             now = self.now()
             if call.deadline is not None and call.deadline <= now:
-                self.waiting.popleft()
+                del self.waiting[call]
                 self.fail_unconnected(call, "its deadline passed before it could be sent")
                 continue
             slot, should_open, why = self.plan.place(now, 0)
             if slot is None:
                 if why:
-                    self.waiting.popleft()
+                    del self.waiting[call]
                     self.fail_unconnected(call, why)
                     continue
                 if should_open:
                     self.open()
                 return
-            self.waiting.popleft()
+            del self.waiting[call]
             self.conns[slot].begin(call, now)
 
     def check(self) -> None:
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -74,7 +74,6 @@
         # The output that is written when `delay` has passed, and the timer of the next step of the close.
         self._final_output = b""
         self._close_timer: asyncio.TimerHandle | None = None
-        self._close_timer: asyncio.TimerHandle | None = None
         self.opened = self.last_received_at = self.loop.time() * 1000.0
         self.why = ""
         # Whether this side ended the connection.
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -6,18 +6,23 @@
 
 import pytest
 from platform_scene import InvokerStandIn, Scene, run_scene, until
-from platform_world import frame, request_frame
+from platform_world import SETTINGS, frame, request_frame
 
+from sprucespool.grpc import Limits
 from sprucespool.node.clients import ClientConnection
 from sprucespool.node.gateway_server import _Forward
 from sprucespool.node.invokers import InvokerRequest
-from sprucespool.relay.frames import FrameLink
+from sprucespool.relay.frames import FrameLink, Request
 from sprucespool.relay.lines import InvokerLink, LineError
 from sprucespool.relay.unparsed import UnparsedBytes
+from sprucespool.transport.plan import PoolLimits
+from sprucespool.transport.pool import Pool
 from sprucespool.transport.wire import Wire
 
 pytestmark = pytest.mark.sockets
 
+LONG_CONNECT_TIMEOUT = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], "connectTimeout": 3000}}
+
 
 @contextmanager
 def no_garbage_collector():
@@ -92,3 +97,38 @@
                 assert alive(Wire, InvokerLink, LineError) <= before
 
     run_scene(scene)
+
+
+def test_requests_cancelled_before_they_were_sent_are_freed():
+    """Guards against: they waited on for a connection with their bodies, and took the places of others."""
+
+    async def scene():
+        async with Scene(InvokerStandIn(full=True), settings=LONG_CONNECT_TIMEOUT) as world:
+            client = await world.client()
+            with no_garbage_collector():
+                before = alive(Request)
+                numbers = range(1, 6)
+                client.send(b"".join(request_frame(n, bytes(16_000), id=f"{n:016x}") for n in numbers))
+                await until(lambda: len(world.node.server.in_flight) == len(numbers))
+                client.send(b"".join(frame(18, n) for n in numbers))
+                await until(lambda: not world.node.server.calls)
+                await asyncio.sleep(0.1)
+                assert world.node.server.invokers["s-0"].opening
+                assert alive(Request) == before
+
+    run_scene(scene)
+
+
+def test_calls_over_grpc_cancelled_before_they_were_sent_are_freed():
+    """Guards against: they waited on for a connection with their messages, and took the places of others."""
+
+    async def scene():
+        invoker = await InvokerStandIn(full=True).start()
+        pool = Pool("127.0.0.1", invoker.port, Limits(), PoolLimits(connect_timeout=3_000.0, waiting=3), 1)
+        for _ in range(10):
+            pool.call("/a/b", {}, None, bytes(100_000), lambda event: None).cancel()
+        assert pool.opening and not pool.waiting
+        pool.close()
+        invoker.close()
+
+    run_scene(scene)
