An unfinished event of the command channel is limited by the memory, lines included

Callers saw: nothing yet. An event that never ends might take 8 MB on each of three watches whatever the memory, and one of lines without data had no limit.

Cause: FeedLink counted the bytes of values alone; the same limit held for the head of the response.

Over it the watch ends and is asked again.

--- a/sprucespool/node/channel.py
+++ b/sprucespool/node/channel.py
@@ -18,6 +18,8 @@
 # Watches open at the same time: a slow channel may answer an earlier watch while a later one still waits.
 MAX_WATCHES = 3
 CHECK_INTERVAL_SECONDS = 0.1
+# Share of the memory for an incomplete event of one watch, and what is allowed in any case: the list of 3,200 invokers.
+EVENT_SHARE, MIN_EVENT_LIMIT_BYTES = 0.03, 1024 * 1024
 # An invalid event is requested again up to this number of reads; then its invalid entries are skipped.
 MAX_READS_PER_EVENT = 3
 
@@ -39,6 +41,7 @@
         log: Log,
         seed: int,
         clock: AnchoredClock,
+        memory_mb: float,
     ):
         self.host, self.port, self.roster, self.on_change, self.log, self.seed = (
             host,
@@ -50,6 +53,7 @@
         )
         self.on_up_to_date = on_up_to_date
         self.clock = clock
+        self.max_event_bytes = max(MIN_EVENT_LIMIT_BYTES, int(EVENT_SHARE * memory_mb * 2**20))
         self.loop = asyncio.get_running_loop()
         # Open watches, the newest last.
         self.watches: list[Wire] = []
@@ -130,7 +134,8 @@
             self.connect_task = self.loop.create_task(self._open_watch())
 
     async def _open_watch(self):
-        wire = Wire(FeedLink(f"{self.host}:{self.port}", self.roster.last), self._on_events, self._on_lost)
+        link = FeedLink(f"{self.host}:{self.port}", self.roster.last, self.max_event_bytes)
+        wire = Wire(link, self._on_events, self._on_lost)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):
                 await self.loop.create_connection(lambda: wire, self.host, self.port)
--- a/sprucespool/node/serve.py
+++ b/sprucespool/node/serve.py
@@ -73,6 +73,7 @@
             self.log,
             self.config.seed,
             self.clock,
+            self.config.memory_mb,
         )
         self.server.discovery_silence_ms = self.channel.silence_ms
         return port
--- a/sprucespool/relay/feed.py
+++ b/sprucespool/relay/feed.py
@@ -14,7 +14,10 @@
 from sprucespool.links import LinkError, address
 
 PATH = "/cmd/next"
-MAX_EVENT_BYTES = 8 * 1024 * 1024
+# Limit of the head of the response, and of a line of chunk sizes.
+MAX_HEAD_BYTES = 64 * 1024
+# What a line of data costs beside its bytes.
+LINE_OVERHEAD_BYTES = 48
 # If the youngest invoker seems older than this, the local clock is assumed to be ahead, since so long without any
 # start of an invoker is implausible.
 MAX_CREDIBLE_AGE_MS = 30 * 60_000.0
@@ -40,12 +43,16 @@
 
 
 class FeedLink:
-    """The client side of one connection to the command channel. Comments count as received bytes but yield no event."""
+    """The client side of one connection to the command channel. Comments count as received bytes but yield no event.
+
+    `max_event_bytes`: what an incomplete event may take, with the overhead of its lines.
+    """
 
     more = False
 
-    def __init__(self, host: str, last: int):
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_EVENT_BYTES)
+    def __init__(self, host: str, last: int, max_event_bytes: int):
+        self.max_event_bytes = max_event_bytes
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.out = self.http.send(
             h11.Request(
                 method="GET",
@@ -57,13 +64,14 @@
         self.partial_line = b""
         self.number: int | None = None
         self.data: list[bytes] = []
+        self.data_bytes = 0
         self.ended = False
         # When (ms) an event or a comment last ended with no incomplete event behind it; None before the first.
         self.current_at: float | None = None
 
     @property
     def buffered_bytes(self) -> int:
-        return len(self.partial_line) + sum(map(len, self.data))
+        return len(self.partial_line) + self.data_bytes
 
     @property
     def incomplete_since(self) -> float:
@@ -75,6 +83,7 @@
 
     def forget(self) -> None:
         self.partial_line = b""
+        self._forget_event()
 
     def receive(self, data: memoryview | bytes, now: float) -> list[ChannelEvent]:
         events: list[ChannelEvent] = []
@@ -98,8 +107,6 @@
 
     def _lines(self, data: bytes, events: list[ChannelEvent]):
         *lines, self.partial_line = (self.partial_line + data).split(b"\n")
-        if len(self.partial_line) + sum(map(len, self.data)) > MAX_EVENT_BYTES:
-            raise FeedError(f"expected an event of at most {MAX_EVENT_BYTES} bytes")
         for line in lines:
             line = line.removesuffix(b"\r")
             name, _, value = line.partition(b":")
@@ -107,13 +114,19 @@
             if not line:
                 if self.number is not None and self.data:
                     events.append(ChannelEvent(self.number, b"\n".join(self.data)))
-                self.number, self.data = None, []
+                self._forget_event()
             elif name == b"id":
                 if not value.isdigit() or len(value) > 15:
                     raise FeedError(f"expected id as a number, got {value[:40]!r}")
                 self.number = int(value)
             elif name == b"data":
                 self.data.append(value)
+                self.data_bytes += len(value) + LINE_OVERHEAD_BYTES
+        if self.buffered_bytes > self.max_event_bytes:
+            raise FeedError(f"expected an event of at most {self.max_event_bytes} bytes")
+
+    def _forget_event(self):
+        self.number, self.data, self.data_bytes = None, [], 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import sys
 
 import pytest
 from hypothesis import given, settings
@@ -229,7 +230,7 @@
     body = b"".join(b"%x\r\n%b\r\n" % (len(text[n : n + 7]), text[n : n + 7]) for n in range(0, len(text), 7))
     head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
     data = head + (b"Transfer-Encoding: chunked\r\n\r\n" + body if chunked else b"Connection: close\r\n\r\n" + text)
-    link = FeedLink("127.0.0.1:1", 3)
+    link = FeedLink("127.0.0.1:1", 3, 2**20)
     assert b"GET /cmd/next HTTP/1.1\r\n" in (out := link.outgoing()[0]) and b"Last-Event-ID: 3\r\n" in out
     events = [event for piece in pieces(data, cuts) for event in link.receive(piece, 0.0)]
     assert events == [ChannelEvent(4, b'{"a":\n1}'), ChannelEvent(5, b"{}")]
@@ -319,3 +320,15 @@
 
 settings.register_profile("steady", derandomize=True, max_examples=60, deadline=None)
 settings.load_profile("steady")
+
+
+@pytest.mark.parametrize("line", [b"data:\n", b"data: 12345678\n", b"data: " + bytes(100_000) + b"\n", b"x" * 65_536])
+def test_an_event_that_never_ends_is_refused_before_its_lines_take_more_than_the_limit(line):
+    """Guards against: lines without data counted nothing, and the limit of 8 MB for each watch knew no memory limit."""
+    link = FeedLink("127.0.0.1:1", 3, 2**20)
+    link.receive(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 4\n", 0.0)
+    lines = line * (65_536 // len(line) or 1)
+    with pytest.raises(LinkError, match="at most 1048576 bytes"):
+        for _ in range(200):
+            link.receive(lines, 0.0)
+            assert sum(map(sys.getsizeof, link.data)) + len(link.partial_line) <= 2**20
