gRPC: all that connections of clients buffer is counted, under one limit

Clients could make the gRPC controller keep, under no common limit, whole messages of calls never finished, headers that never end, unread responses.

Cause: ReceiveBudget counts incomplete messages alone; unary methods kept a whole message, uncounted, until the half-close; h2 keeps up to 1 MB of header frames.

Change: links tell all that they buffer; the listener's BufferBudget (bounds buffers, 512 MB) counts it. A header block may take four times bounds headers, which is what h2 allows its fields.

--- a/sprucespool/daemon/serve.py
+++ b/sprucespool/daemon/serve.py
@@ -102,6 +102,7 @@
                 keepalive_timeout=bounds.keepalive_timeout,
                 unread=bounds.unread,
                 half_received=bounds.half_received,
+                buffers=bounds.buffers,
             ),
         )
         # The listener takes from the server how long an accepted connection may have waited for the event loop.
--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -29,6 +29,7 @@
 # Frames that may close a stream on which this end can still send. The events of the frames before one are handled
 # first: h2 would refuse an answer on a stream that a later frame of the same read has closed.
 CLOSING_FRAMES = frozenset({RST_STREAM, GOAWAY, WINDOW_UPDATE})
+HEADER_FRAMES, END_HEADERS = frozenset({1, 9}), 4
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 Codes = h2.errors.ErrorCodes
 
@@ -89,6 +90,9 @@
         self.read_error = ""
         self.highest = 0
         self._unparsed = b""
+        # Bytes of a header block whose end was not received, and of messages that are incomplete, not consumed or kept.
+        self._header_block_bytes = self._received_bytes = 0
+        self._received_at = 0.0
         self._preface = len(PREFACE) if server else 0
         self._overhead_frames, self._resets = (
             RateBucket(limits.overhead_frames_per_second),
@@ -97,12 +101,14 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Bytes kept of incomplete frames and messages."""
-        return len(self._unparsed) + sum(len(stream.partial) for stream in self.streams.values())
+        """Bytes of incomplete frames, headers and messages, of messages not consumed or kept, and of output."""
+        return len(self._unparsed) + self._header_block_bytes + self._received_bytes + self.unsent
 
     @property
     def incomplete_since(self) -> float:
-        return math.inf
+        """When (ms) the peer last left off sending or reading on the stream that has waited for it longest."""
+        streams = self.streams.values()
+        return min((min(stream.waiting_since, stream.flow.waiting_since) for stream in streams), default=math.inf)
 
     # Receiving
 
@@ -113,6 +119,7 @@
         calls that were answered must not count as interrupted.
         """
         events: list[Event] = []
+        self._received_at = now
         try:
             self._receive(data, now, events)
         except LinkError as error:
@@ -141,6 +148,7 @@
             if end > len(buffered):
                 break
             kind = buffered[at + 3]
+            self._count_header_block(kind, buffered[at + 4], size)
             # h2 returns no events of the frames before an invalid one, so a client gives it each frame alone.
             if kind in CLOSING_FRAMES or not self.server:
                 self._feed(buffered[begin:at], events, now)
@@ -156,6 +164,15 @@
         self._feed(buffered[begin:at], events, now)
         self._unparsed = buffered[at:]
 
+    def _count_header_block(self, kind: int, flags: int, size: int):
+        if kind not in HEADER_FRAMES:
+            return
+        self._header_block_bytes += size
+        if self._header_block_bytes > self.limits.header_list_hard_limit:
+            self._fail(Codes.ENHANCE_YOUR_CALM, f"headers of over {self.limits.header_list_hard_limit} bytes")
+        if flags & END_HEADERS:
+            self._header_block_bytes = 0
+
     def _feed(self, frames: bytes, events: list, now: float):
         if not frames:
             return
@@ -197,9 +214,12 @@
         if stream is None or stream.answered or stream.refused:
             self.h2.acknowledge_received_data(size, event.stream_id) if size else None
             return
+        if not stream.partial:
+            stream.waiting_since = now
         stream.partial += event.data
         stream.unacknowledged += size
         self.budget.used += len(event.data)
+        self._received_bytes += len(event.data)
         if (
             self.budget.used > 2 * self.budget.max_bytes
             and sum(len(other.partial) for other in self.streams.values()) > GUARANTEED_PARTIAL_BYTES
@@ -256,12 +276,29 @@
         stream = self.streams.get(stream_id)
         if stream is None:
             return
+        self._received_bytes -= min(size, stream.unconsumed)
         stream.unconsumed = max(0, stream.unconsumed - size)
+        if not stream.unconsumed and not stream.partial and not stream.kept:
+            stream.waiting_since = math.inf
         self._return_to_window(stream_id, stream, size)
         self._mark_starved(stream_id, stream)
         if self.starved:
             self._extend_starved_windows()
 
+    def keep(self, stream_id: int, size: int):
+        """The user keeps so many bytes of messages that it consumed, until `release` or the end of the stream."""
+        stream = self.streams.get(stream_id)
+        if stream is not None:
+            stream.kept += size
+            self._received_bytes += size
+
+    def release(self, stream_id: int):
+        """What the user keeps of the stream is counted elsewhere from now on."""
+        stream = self.streams.get(stream_id)
+        if stream is not None:
+            self._received_bytes -= stream.kept
+            stream.kept, stream.waiting_since = 0, math.inf
+
     def _bad_message(self, number: int, stream: Stream, compressed: bool, why: str, events: list):
         raise NotImplementedError
 
@@ -282,6 +319,7 @@
         if stream is not None:
             self.unsent -= stream.flow.size
             self.budget.used -= len(stream.partial)
+            self._received_bytes -= len(stream.partial) + stream.unconsumed + stream.kept
             self.sending.pop(number, None)
             self.starved.pop(number, None)
             if stream.unacknowledged and not self.dead:
@@ -297,7 +335,8 @@
         self.streams.clear()
         self.sending.clear()
         self.starved.clear()
-        self.unsent = 0
+        self.unsent = self._received_bytes = self._header_block_bytes = 0
+        self._unparsed = b""
 
     # Sending
 
@@ -315,6 +354,8 @@
 
     def _queue(self, number: int, stream: Stream, data: bytes):
         if data:
+            if not stream.flow.size:
+                stream.flow.waiting_since = self._received_at
             stream.flow.waiting.append(memoryview(data))
             stream.flow.size += len(data)
             self.unsent += len(data)
@@ -398,6 +439,7 @@
             else:
                 flow.waiting[0] = first[length:]
         flow.size -= size
+        flow.waiting_since = self._received_at if flow.size else math.inf
         self.unsent -= size
         last = not flow.waiting and flow.end and flow.trailers is None
         self.h2.send_data(number, b"".join(chunks), end_stream=last)
--- a/sprucespool/grpc/streams.py
+++ b/sprucespool/grpc/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -20,6 +21,8 @@
     # Consecutive sweeps without progress, and the size at the last sweep.
     idle_sweeps: int = 0
     size_at_last_sweep: int = 0
+    # When (ms) the peer last read a part of it; infinity if nothing waits.
+    waiting_since: float = math.inf
 
 
 @dataclass(slots=True)
@@ -37,7 +40,11 @@
     unacknowledged: int = 0
     # Bytes of complete messages that the user received and has not consumed yet.
     unconsumed: int = 0
+    # Bytes of messages that the user consumed and keeps until the peer has finished sending.
+    kept: int = 0
     headers: Metadata | None = None
+    # When (ms) the last message that is incomplete, not consumed or kept began; infinity if there is none.
+    waiting_since: float = math.inf
 
 
 class ReceiveBudget:
--- a/sprucespool/settings/controller.py
+++ b/sprucespool/settings/controller.py
@@ -177,6 +177,8 @@
     message: Bytes = 8 * 2**20
     unsent: Bytes = 32 * 2**20
     half_received: Bytes = 256 * 2**20
+    # All that connections buffer: also messages of calls that are not finished, and responses that are not read.
+    buffers: Bytes = 512 * 2**20
     # Maximum number of inferences held at once, and maximum total size of their requests.
     calls: int = 20_000
     held: Bytes = 512 * 2**20
--- a/sprucespool/transport/listener.py
+++ b/sprucespool/transport/listener.py
@@ -11,6 +11,7 @@
 from sprucespool.grpc.server import ServerLink
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.transport.acceptor import Acceptor
+from sprucespool.transport.buffers import BufferBudget
 from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.wire import Wire
 
@@ -30,6 +31,9 @@
     unread: float = 20_000.0
     # Limit in bytes for incompletely received messages, summed over all connections.
     half_received: int = 256 * 1024 * 1024
+    # Limit in bytes for all that connections buffer: incomplete input, messages of calls whose client has not finished
+    # sending, and responses that are not read.
+    buffers: int = 512 * 1024 * 1024
 
 
 class ServerCall:
@@ -96,6 +100,16 @@
             self.link.consumed(self.stream, size)
             self.wire.flush_soon()
 
+    def keep(self, size: int) -> None:
+        """Count `size` bytes of a message that the method keeps until the client has finished sending."""
+        if not self.wire.lost:
+            self.link.keep(self.stream, size)
+
+    def release(self) -> None:
+        """The method counts elsewhere, or has given up, what it kept."""
+        if not self.wire.lost:
+            self.link.release(self.stream)
+
     def finish(self, status: Status, message: str = "", trailers: Metadata | None = None) -> None:
         if self.over:
             return
@@ -122,6 +136,7 @@
         received: list[bytes] = []
 
         def message(data: bytes, size: int):
+            call.keep(len(data))
             call.consumed(size)
             if received:
                 call.on_message = lambda data, size: None
@@ -132,6 +147,7 @@
             if call.over:
                 return
             if received:
+                call.release()
                 serve(call, received[0])
             else:
                 call.finish(Status.INVALID_ARGUMENT, "expected one message, got none")
@@ -147,7 +163,13 @@
     def __init__(self, listener: Listener, waited: float):
         self.listener, self.waited = listener, waited
         self.calls: dict[int, ServerCall] = {}
-        self.wire = Wire(ServerLink(listener.limits, listener.ledger), self._events, self._lost, self._connected)
+        self.wire = Wire(
+            ServerLink(listener.limits, listener.ledger),
+            self._events,
+            self._lost,
+            self._connected,
+            budget=listener.buffer_budget,
+        )
         self.name, self.received_any, self.pinged_at = "?", False, 0.0
 
     @property
@@ -273,6 +295,7 @@
         self.methods, self.limits, self.server = methods, limits, server
         self.loop = asyncio.get_running_loop()
         self.ledger = ReceiveBudget(server.half_received)
+        self.buffer_budget = BufferBudget(server.buffers)
         self.peers: dict[_Peer, None] = {}
         self.accepted = self.turned_away = 0
         self.end_counts: dict[str, int] = {}
--- a/tests/test_drills.py
+++ b/tests/test_drills.py
@@ -25,7 +25,7 @@
     daemon = stage.controller(
         tmp_path_factory.mktemp("drills"),
         [standin.name],
-        'bounds message="1MiB" connections=200 unread="2s" handshake="1s" half-received="8MiB"\n'
+        'bounds message="1MiB" connections=200 unread="2s" handshake="1s" half-received="8MiB" buffers="16MiB"\n'
         "to-invokers connections=8 streams=100",
     )
     with grpc.insecure_channel(f"127.0.0.1:{daemon.port}") as grpc_channel:
@@ -153,3 +153,26 @@
     time.sleep(0.3)
     assert used_bytes <= 17 * 2**20 and growth_kib < 200 * 1024
     assert stage.call(lambda: daemon.listener.ledger.used) == 0
+
+
+def test_messages_of_calls_that_are_never_finished_stay_within_the_limit(served):
+    """Guards against: a whole message whose client never finished sending was counted nowhere."""
+    stage, daemon, _ = served
+    block = Encoder().encode([*GRPC[:2], (b":path", names.MODEL_INFER.encode()), *GRPC[3:]])
+    message = b"\x00" + (60_000).to_bytes(4, "big") + bytes(60_000)
+    pieces = [message[at : at + 16_000] for at in range(0, len(message), 16_000)]
+    conns = []
+    for _ in range(40):
+        conn = socket.create_connection(("127.0.0.1", daemon.port))
+        streams = range(1, 33, 2)
+        frames = [frame(1, 4, n, block) + b"".join(frame(0, 0, n, piece) for piece in pieces) for n in streams]
+        conn.sendall(HELLO + b"".join(frames))
+        conns.append(conn)
+    time.sleep(0.5)
+    # Sixteen messages of 60,000 bytes on each.
+    bytes_held = 16 * 60_000 * (stage.call(lambda: len(daemon.listener.peers)) - 2)
+    for conn in conns:
+        conn.close()
+    time.sleep(0.3)
+    assert 8 * 2**20 < bytes_held <= 16 * 2**20
+    assert stage.call(lambda: daemon.listener.buffer_budget.used) < 2**16
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -424,3 +424,15 @@
 @given(st.floats(0.001, 8e7))
 def test_timeouts_round_trip(ms):
     assert abs(read_timeout(write_timeout(ms)) - ms) <= max(0.001, ms * 1e-4)
+
+
+def test_headers_that_never_end_are_refused_at_the_limit_on_headers():
+    """Guards against: h2 keeps up to a megabyte of frames until the end of the headers, counted nowhere."""
+    server = ServerLink(Limits(header_list=16_384))
+    server.receive(HELLO, 0.0)
+    server.receive(frame(1, 0, 1, bytes(16_000)), 0.0)
+    for number in range(2, 5):
+        server.receive(frame(9, 0, 1, bytes(16_000)), 0.0)
+        assert server.buffered_bytes == number * 16_000
+    with pytest.raises(LinkError, match="headers of over 65536 bytes"):
+        server.receive(frame(9, 0, 1, bytes(16_000)), 0.0)
