gRPC: what invokers have sent of their answers is limited over all pools

Cause: each connection of a pool had a receive budget of its own.

Change: the pools of a controller share a BufferBudget (bounds buffers).

Result: test_answers_that_never_end_stay_within_the_limit_of_all_pools fails without the budget (trial) and passes with it.

--- a/sprucespool/daemon/gateway_server.py
+++ b/sprucespool/daemon/gateway_server.py
@@ -22,6 +22,7 @@
 from sprucespool.policy import Controller
 from sprucespool.settings.controller import ControllerPlan, ModelTable, address, deployment
 from sprucespool.transport.listener import Method, ServerCall, unary
+from sprucespool.transport.buffers import BufferBudget
 from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.pool import CallEvent, Pool, PoolCall, Unconnected
@@ -119,6 +120,7 @@
             max_backoff=to_invokers.last_backoff,
             source=plan.source,
         )
+        self.invoker_buffers = BufferBudget(bounds.buffers)
         self.own_metadata = {names.CONTROLLER: str(plan.controller.number)}
         if plan.learning is not None:
             self.exchange = Exchange(
@@ -330,7 +332,9 @@
             host, port = address(name)
             # Each pool of each controller has its own random backoff pauses.
             seed = self.plan.seed * 1000 + self.plan.controller.number + len(self.pools) * 7919
-            self.pools[name] = Pool(host, port, self.invoker_limits, self.pool_limits, seed, self.batch.pace)
+            self.pools[name] = Pool(
+                host, port, self.invoker_limits, self.pool_limits, seed, self.batch.pace, self.invoker_buffers
+            )
         return self.pools[name]
 
     def _forward(self, effect: ms.SendForward):
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -17,6 +17,7 @@
 )
 from sprucespool.grpc.client import ClientLink
 from sprucespool.grpc.status import Limits, Metadata
+from sprucespool.transport.buffers import BufferBudget
 from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.opener import Opener
 from sprucespool.transport.pace import LoopPace
@@ -105,7 +106,9 @@
     def __init__(self, pool: Pool, slot: Slot):
         self.pool, self.slot = pool, slot
         self.calls: dict[int, PoolCall] = {}
-        self.wire = Wire(ClientLink(pool.limits), self._events, self._lost, high_water=HIGH_WATER_BYTES)
+        self.wire = Wire(
+            ClientLink(pool.limits), self._events, self._lost, high_water=HIGH_WATER_BYTES, budget=pool.buffer_budget
+        )
         self.wire.on_paused = self._on_paused_changed
 
     @property
@@ -188,8 +191,11 @@
         pool_limits: PoolLimits,
         seed: int,
         pace: LoopPace | None = None,
+        buffer_budget: BufferBudget | None = None,
     ):
         super().__init__(host, port, pool_limits, seed, pace)
+        # Shared with the pools of other addresses.
+        self.buffer_budget = buffer_budget
         self.limits, self.authority = limits, f"{host}:{port}"
 
     def connection(self, slot: Slot) -> _Conn:
--- a/tests/test_pool_crossings.py
+++ b/tests/test_pool_crossings.py
@@ -20,6 +20,7 @@
 from sprucespool.grpc.server import ServerLink
 from sprucespool.grpc.status import Limits
 from sprucespool.settings.controller import ControllerPlan, GroupPlan, Place, RosterSource
+from sprucespool.transport.buffers import BufferBudget
 from sprucespool.transport.listener import Listener, Server, unary
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.pool import Broken, Pool, Unconnected
@@ -324,3 +325,29 @@
         listener.close()
 
     run_scene(scene)
+
+
+def test_answers_that_never_end_stay_within_the_limit_of_all_pools():
+    """Guards against: what invokers had sent of their answers was limited for each connection alone."""
+
+    async def scene():
+        # Each invoker sends a message of 60,000 bytes, which the caller does not consume, and no end.
+        methods = {"/a/Open": unary(lambda call, data: call.send(bytes(60_000)))}
+        listeners = [Listener(methods, Limits(), Server()) for _ in range(2)]
+        budget, events, pools = BufferBudget(100_000), [], []
+
+        def all_answered() -> bool:
+            return sum(isinstance(event, Message) for event in events) == len(pools)
+
+        for listener in listeners:
+            port = await listener.start("127.0.0.1", 0)
+            pools.append(Pool("127.0.0.1", port, Limits(), PoolLimits(), 1, buffer_budget=budget))
+            pools[-1].call("/a/Open", {}, 5_000.0, b"", events.append)
+            await until(all_answered)
+        await until(lambda: any(isinstance(event, Broken) for event in events))
+        # The older one ended.
+        assert not pools[0].conns and len(pools[1].conns) == 1 and 60_000 <= budget.used <= 100_000
+        for end in [*pools, *listeners]:
+            end.close()
+
+    run_scene(scene)
