A request whose client has left keeps no body, though its attempt goes on

Callers saw: nothing yet.

Cause: the limit on open requests released the body when the client left; the attempt went on, up to its deadline, and kept the request with its body.

Change: a request whose call is over drops its body: nothing of it is sent any more.

--- a/sprucespool/node/gateway_server.py
+++ b/sprucespool/node/gateway_server.py
@@ -227,6 +227,8 @@
             return
         del self.calls_by_request_id[call.request.id]
         self.held_bytes -= INFERENCE_OVERHEAD_BYTES + len(call.request.body)
+        # An attempt may go on where it can't be called off: it must not keep a body that no limit counts any more.
+        call.request.body = b""
         if self.log.debugging:
             self.log.debug(
                 "inference",
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -22,6 +22,7 @@
 pytestmark = pytest.mark.sockets
 
 LONG_CONNECT_TIMEOUT = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], "connectTimeout": 3000}}
+NO_CANCELLATION = {**SETTINGS, "ceilings": {**SETTINGS["ceilings"], "cancel": False}}
 
 
 @contextmanager
@@ -132,3 +133,20 @@
         invoker.close()
 
     run_scene(scene)
+
+
+def test_an_attempt_that_goes_on_after_its_client_left_keeps_no_body():
+    """Guards against: where attempts can't be called off, clients that come again left uncounted bodies behind."""
+
+    async def scene():
+        async with Scene(InvokerStandIn(lambda tag: None), settings=NO_CANCELLATION) as world:
+            client = await world.client()
+            client.send(b"".join(request_frame(n, bytes(16_000), id=f"{n:016x}") for n in range(1, 6)))
+            await until(lambda: world.invokers[0].runs())
+            client.close()
+            await until(lambda: not world.node.server.calls)
+            await asyncio.sleep(0.05)
+            assert world.node.server.in_flight
+            assert not any(one.body for one in gc.get_objects() if type(one) is Request)
+
+    run_scene(scene)
