--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -215,6 +215,31 @@
     asyncio.run(scene())
 
 
+def test_models_that_clients_name_stay_within_the_memory():
+    """Guards against: what is learned of each model is kept for a keep-alive, however many models are named."""
+    ids, keys = itertools.count(FIRST_BAD_ID), itertools.count(1)
+
+    async def act(reader, writer):
+        received = b""
+        for batch in itertools.count():
+            numbers = range(8 * batch + 1, 8 * batch + 9)
+            requests = [request_frame(n, id=f"{next(ids):016x}", key=f"{next(keys):016x}") for n in numbers]
+            writer.write(b"".join(requests))
+            answered = 0
+            while answered < len(numbers):
+                chunk = await reader.read(65_536)
+                if not chunk:
+                    return
+                frames, received = cut_frames(received + chunk)
+                answered += len(frames)
+
+    async def scene():
+        async with platform(*[InvokerStandIn() for _ in range(6)]) as world:
+            await bad_clients(40, 10.0, world.port, act)
+
+    asyncio.run(scene())
+
+
 def test_answers_that_never_end_stay_within_the_limit_on_buffers():
     """Guards against: half-received answers of invokers had no limit for all connections together."""
     memory_mb, invokers = 10, 30
