A half-received request is not ended for clients that buffer more than a request needs

With 336 clients that had sent 20 or 30 KB of a frame, a request whose last bytes came a second later was failed.

Cause: up to 32 KB counted as little, and of those the connection incomplete for longest ended; a request needs 16 KiB and its fields at most.

Change: up to 18 KB count as little: on the 341 connections that clients may hold 6.1 MB, within the limit of 6.4 MB at 64 MB.

--- a/sprucespool/transport/buffers.py
+++ b/sprucespool/transport/buffers.py
@@ -4,9 +4,9 @@
 
 from typing import Protocol
 
-# A connection that buffers no more than this is ended only when all others buffer as little: the largest request that
-# is half received, or an answer that is half written, fits in.
-SMALL_BUFFER_BYTES = 32 * 1024
+# A connection that buffers no more than this is ended only when all others buffer as little. The largest request fits,
+# half received: 16 KiB of body and its fields.
+SMALL_BUFFER_BYTES = 18 * 1024
 
 
 class BufferingConnection(Protocol):
--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -170,6 +170,28 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("size", [LARGEST_FRAME - 1000, 30_000, 20_000])
+def test_a_request_that_is_half_received_outlasts_frames_that_never_end(size):
+    """Guards against: it was the oldest of those that buffer little, and ended for clients that buffer more."""
+
+    async def act(reader, writer):
+        writer.write(frame(16, 1, bytes(LARGEST_FRAME - 5))[:size])
+        await reader.read()
+        await asyncio.sleep(1.0)
+
+    async def scene():
+        async with platform(InvokerStandIn()) as world:
+            reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
+            request = request_frame(1, bytes(16_384), id="f" * 16)
+            writer.write(request[:-100])
+            await bad_clients(BAD_CLIENTS, 1.2, world.port, act)
+            writer.write(request[-100:])
+            answer = await asyncio.wait_for(reader.readexactly(10), 3.0)
+            assert (answer[4], answer[9]) == (17, SERVED)
+
+    asyncio.run(scene())
+
+
 @pytest.mark.parametrize("last", [b"", frame(99, 0)], ids=["silent", "ends with an error"])
 def test_answers_that_clients_do_not_read_stay_within_the_limit_on_buffers(last):
     """Guards against: unread answers had a limit for each connection, none for all; nor had a connection that ends."""
