--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -79,9 +79,8 @@
     async def check(self):
         """Each request that the usual client asked is answered, also the last one.
 
-        A limit on memory would fail the usual client's request or end its connection.
-
-        The decisions may refuse it, as where bad clients take all of the processor or of the invokers.
+        A limit on memory would fail its requests or end its connection; the decisions may refuse them, as where bad
+        clients take all of the processor or of the invokers.
         """
         assert self.process.poll() is None
         assert self.highest_mb < MAX_SHARE * MEMORY_MB
