--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -2,130 +2,24 @@
 
 import asyncio
 import itertools
-import json
 import socket
-import subprocess
-import tempfile
 import time
-from collections import Counter
 from collections.abc import Awaitable, Callable
-from contextlib import asynccontextmanager
-from pathlib import Path
 
 import pytest
-from platform_scene import (
-    ChannelStandIn,
-    InvokerStandIn,
-    Scene,
-    controller_process,
-    cut_frames,
-    entry,
-    hit,
-    listening_port,
-    run_scene,
-    until,
-)
-from platform_world import configuration, frame, request_frame
+from platform_process import SERVED, platform
+from platform_scene import InvokerStandIn, Scene, cut_frames, hit, run_scene
+from platform_world import frame, request_frame
 
 pytestmark = pytest.mark.sockets
 
-MEMORY_MB, SOCKETS = 64, 1024
-# Above this share of its memory limit, a controller keeps something that no limit counts.
-MAX_SHARE = 0.8
 # A third of the descriptors, as the platform allows clients, without the usual ones.
 BAD_CLIENTS = 336
 LARGEST_FRAME = 262_144
-SERVED, REFUSED = 0, 14
 # The usual client's request ids are smaller.
 FIRST_BAD_ID = 1 << 32
 
 
-def own_memory_mb(pid: int) -> float:
-    """The memory of the process that it shares with no other."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    return next(int(line.split()[1]) / 1024 for line in status.splitlines() if line.startswith("RssAnon"))
-
-
-class Platform:
-    """A controller process with its peers on loopback; its highest memory is recorded."""
-
-    def __init__(self, process: subprocess.Popen, port: int, invokers: list[InvokerStandIn], channel: ChannelStandIn):
-        self.process, self.port, self.invokers, self.channel = process, port, invokers, channel
-        self.highest_mb = 0.0
-        self.codes: list[int] = []
-        self.asked = 0
-
-    async def watch_memory(self):
-        while self.process.poll() is None:
-            self.highest_mb = max(self.highest_mb, own_memory_mb(self.process.pid))
-            await asyncio.sleep(0.002)
-
-    async def ask_as_usual_client(self, body: bytes = b"small"):
-        """Ask for one request after another on one connection."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        data = b""
-        while True:
-            self.asked += 1
-            writer.write(request_frame(self.asked, body, id=f"{self.asked:016x}"))
-            while not data or not (found := cut_frames(data))[0]:
-                chunk = await reader.read(65_536)
-                if not chunk:
-                    return
-                data += chunk
-            frames, data = found
-            self.codes += [code for _, _, code in frames]
-            await asyncio.sleep(0.02)
-
-    async def check(self):
-        """Each request that the usual client asked is answered, also the last one.
-
-        A limit on memory would fail its requests or end its connection; the decisions may refuse them, as where bad
-        clients take all of the processor or of the invokers.
-        """
-        assert self.process.poll() is None
-        assert self.highest_mb < MAX_SHARE * MEMORY_MB
-        asked = self.asked
-        await until(lambda: len(self.codes) >= asked)
-        assert set(self.codes) <= {SERVED, REFUSED}
-
-
-@asynccontextmanager
-async def platform(*invokers: InvokerStandIn):
-    """A controller process; on exit its memory and the answers to the usual client are checked."""
-    channel = await ChannelStandIn().start()
-    for invoker in invokers:
-        await invoker.start()
-    hosts = [(f"s-{n}", one.port, "up") for n, one in enumerate(invokers)]
-    config = configuration(
-        channel=f"127.0.0.1:{channel.port}",
-        known={"cursor": 1, "cmds": [entry(1, *hosts, whole=True)]},
-        limits={"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
-    )
-    with tempfile.TemporaryDirectory() as folder:
-        path, log = Path(folder) / "config.json", Path(folder) / "log"
-        path.write_text(json.dumps(config))
-        with log.open("w") as stderr:
-            process = controller_process(path, stderr=stderr)
-        tasks = []
-        try:
-            await until(lambda: "listening" in log.read_text() and channel.writers, 20.0)
-            await asyncio.sleep(0.2)
-            world = Platform(process, listening_port(log.read_text()), list(invokers), channel)
-            tasks = [asyncio.create_task(world.watch_memory()), asyncio.create_task(world.ask_as_usual_client())]
-            await until(lambda: world.codes, 5.0)
-            yield world
-            print(f"highest memory: {world.highest_mb:.1f} MB of {MEMORY_MB}, codes {Counter(world.codes)}")
-            await world.check()
-        finally:
-            for task in tasks:
-                task.cancel()
-            process.kill()
-            process.wait()
-            channel.close()
-            for invoker in invokers:
-                invoker.close()
-
-
 async def bad_client(port: int, act: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]):
     sock = socket.socket()
     # The system takes little of what is not read.
