A client's input is handled in parts: floods of small frames hold no loop

Cause: a read brings up to 256 KB, and all its frames were handled before any other connection: 26,000 checks take about 85 ms a read and connection, and a usual request needs several iterations, each postponed up to four times after a stall. Over gRPC the same, with 4,000 calls a read. Class: work of one peer without a bound in an iteration of a shared loop.

Change: FrameLink and the gRPC server link handle a bounded part a call and defer the rest; an InputScheduler (both servers) handles deferred input round-robin for 4 ms an iteration, while reading is paused. A request that waited over 0.1 s behind other input of its connection is refused without an attempt, since its client may have left; a peer that has closed its end behind unread input is noticed by POLLRDHUP.

--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -30,6 +30,8 @@
 # first: h2 would refuse an answer on a stream that a later frame of the same read has closed.
 CLOSING_FRAMES = frozenset({RST_STREAM, GOAWAY, WINDOW_UPDATE})
 HEADER_FRAMES, END_HEADERS = frozenset({1, 9}), 4
+# Frames that one call of `receive` of a server handles.
+MAX_FRAMES_PER_RECEIVE = 32
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 Codes = h2.errors.ErrorCodes
 
@@ -38,6 +40,8 @@
     """The parts of a connection that client and server share."""
 
     more = False
+    # Whether complete frames wait for the next call of `receive`; only servers limit what one call handles.
+    deferred = False
 
     low_mark_bytes = 16384
 
@@ -139,7 +143,8 @@
                 return
             at, self._preface = self._preface, 0
             self.h2.receive_data(PREFACE)
-        begin = at
+        begin, frames = at, 0
+        self.deferred = False
         while len(buffered) - at >= FRAME_HEADER_BYTES:
             size = int.from_bytes(buffered[at : at + 3], "big")
             if size > MAX_FRAME_BYTES:
@@ -147,6 +152,10 @@
             end = at + FRAME_HEADER_BYTES + size
             if end > len(buffered):
                 break
+            if self.server and frames >= MAX_FRAMES_PER_RECEIVE:
+                self.deferred = True
+                break
+            frames += 1
             kind = buffered[at + 3]
             self._count_header_block(kind, buffered[at + 4], size)
             # h2 returns no events of the frames before an invalid one, so a client gives it each frame alone.
--- a/sprucespool/links.py
+++ b/sprucespool/links.py
@@ -30,6 +30,10 @@
     def more(self) -> bool:
         """Whether `outgoing` has more to write. Only true for links whose `outgoing` returns one message at a time."""
 
+    @property
+    def deferred(self) -> bool:
+        """Whether `receive` left complete messages for its next call. Only true for links that limit their part."""
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes kept of incomplete input and of output that `outgoing` has not returned yet."""
@@ -39,7 +43,7 @@
         """When (ms) the oldest incomplete message began; infinity if there is none."""
 
     def receive(self, data: memoryview, now: float) -> list[Any]:
-        """Handles received data and returns its events.
+        """Handles received data, and what the last call deferred, and returns its events.
 
         Raises LinkError if the connection must end; `outgoing` then still returns the final bytes for the peer.
         """
--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -10,7 +10,8 @@
 from sprucespool.node.logs import Log
 from sprucespool.relay.frames import Cancellation, Event, FrameLink, ReadinessQuery, Request, RequestReader
 from sprucespool.transport.acceptor import Acceptor
-from sprucespool.transport.buffers import BufferBudget
+from sprucespool.transport.buffers import SMALL_BUFFER_BYTES, BufferBudget
+from sprucespool.transport.input_scheduler import InputScheduler
 from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.wire import Wire
 
@@ -50,7 +51,14 @@
         self._waited: float | None = waited
         self.link = FrameLink(listener.request_reader)
         self.wire = Wire(
-            self.link, self._on_events, self._on_lost, self._on_made, HIGH_WATER_BYTES, listener.buffer_budget
+            self.link,
+            self._on_events,
+            self._on_lost,
+            self._on_made,
+            HIGH_WATER_BYTES,
+            listener.buffer_budget,
+            listener.input_scheduler,
+            max_read_bytes=SMALL_BUFFER_BYTES,
         )
         self.wire.linger, self.wire.on_closed = LINGER_MS, self._on_closed
         self.wire.on_buffers_full = self._on_buffers_full
@@ -173,6 +181,7 @@
         self.max_connections = max(16, int(CONNECTIONS_SHARE * sockets))
         self.backlog = max(16, int(BACKLOG_SHARE * sockets))
         self.buffer_budget = BufferBudget(int(BUFFERS_SHARE * memory_mb * 2**20))
+        self.input_scheduler = InputScheduler()
         self.accepted = self.evicted = self.cut = 0
         self.acceptor = Acceptor(
             lambda waited: ClientConnection(self, waited).wire, self.backlog, self._on_accept_error, possible_wait_ms
--- a/sprucespool/node/gateway_server.py
+++ b/sprucespool/node/gateway_server.py
@@ -36,6 +36,9 @@
 OPEN_INFERENCES_SHARE, INVOKER_BUFFERS_SHARE = 0.18, 0.1
 # What an open inference takes beside its body.
 INFERENCE_OVERHEAD_BYTES = 3 * 1024
+# A request that waited for longer behind other input of its connection is refused: no attempt may begin later than this
+# after its client has left, and the end of the connection is behind that input too.
+MAX_BEHIND_MS = 100.0
 
 
 @dataclass(slots=True, eq=False)
@@ -180,15 +183,16 @@
         """Returns False if an open inference has the same id: its answer could not be told from the other's."""
         if request.id in self.calls_by_request_id:
             return False
+        behind_ms = connection.wire.behind_ms
+        if behind_ms > MAX_BEHIND_MS:
+            self._answer_without_attempt(connection, request, f"read {behind_ms:.0f} ms behind other input", shed=True)
+            return True
         now, size = self.batch.now(), INFERENCE_OVERHEAD_BYTES + len(request.body)
         # The first open request of a connection is always taken: others must not crowd out one who asks for little.
         if connection.calls and self.held_bytes + size > self.max_held_bytes:
-            self.turned_away += 1
-            self.log.info("turned away", why="too much is held here", held=self.held_bytes)
-            connection.link.shed(request.stream, 0.0)
-            connection.answered(request.stream)
+            self._answer_without_attempt(connection, request, "too much is held here", shed=True)
             return True
-        possible_wait_ms = self.batch.pace.possible_wait_on_connection_ms(connection.waited)
+        possible_wait_ms = self.batch.pace.possible_wait_on_connection_ms(max(connection.waited, behind_ms))
         ttl = request.ttl - max(self.batch.lag, possible_wait_ms)
         if self.answers_due_at is not None:
             ttl = min(ttl, self.answers_due_at - now)
@@ -213,6 +217,16 @@
         self.batch.add(message)
         return True
 
+    def _answer_without_attempt(self, connection: ClientConnection, request: Request, why: str, shed: bool):
+        """Refuse the request (`shed`: a retry does no harm) or fail it."""
+        self.turned_away += 1
+        self.log.info("turned away", why=why, id=request.id, held=self.held_bytes)
+        if shed:
+            connection.link.shed(request.stream, 0.0)
+        else:
+            connection.link.failed(request.stream)
+        connection.answered(request.stream)
+
     def request_cancelled(self, connection: ClientConnection, stream: int) -> None:
         call = connection.calls.pop(stream, None)
         if isinstance(call, _Call):
@@ -293,6 +307,7 @@
         if number not in self.in_flight:
             return
         self.ended_forwards.append(number)
+        outcome = result.outcome if isinstance(result, Answer) else result
         if isinstance(result, Answer):
             if result.outcome is it.Outcome.FULL:
                 self.reports.add_refusal(forward.invoker, forward.call.request.id)
@@ -314,7 +329,6 @@
         else:
             self.batch.add(ms.ForwardEnded(number, result.value))
         if self.log.debugging:
-            outcome = result.outcome if isinstance(result, Answer) else result
             self.log.debug(
                 "forward",
                 id=forward.call.request.id,
--- a/sprucespool/relay/feed.py
+++ b/sprucespool/relay/feed.py
@@ -48,7 +48,7 @@
     `max_event_bytes`: what an incomplete event may take, with the overhead of its lines.
     """
 
-    more = False
+    more = deferred = False
 
     def __init__(self, host: str, last: int, max_event_bytes: int):
         self.max_event_bytes = max_event_bytes
--- a/sprucespool/relay/frames.py
+++ b/sprucespool/relay/frames.py
@@ -18,6 +18,8 @@
 MAX_OPEN_REQUESTS, MAX_BODY_BYTES = 32, 16_384
 REQUEST, ANSWER, CANCEL, READINESS_QUERY, READINESS_REPLY, DRAIN = 16, 17, 18, 32, 33, 48
 RETURNED, SHED, FAILED = 0, 14, 2
+# Cost of the frames that one call of `receive` handles: 1 a frame, and 1 for this number of fields.
+MAX_COST_PER_RECEIVE, FIELDS_PER_COST = 32, 8
 # Limit for the answers buffered for a client that does not read.
 MAX_UNREAD_BYTES = 1024 * 1024
 MAX_NUMBER, MAX_LANES = 1e9, 1024
@@ -173,6 +175,8 @@
 
     def __init__(self, reader: RequestReader):
         self.reader = reader
+        # Whether complete frames wait for the next call of `receive`.
+        self.deferred = False
         self.unparsed = UnparsedBytes()
         self.open: set[int] = set()
         self.highest = self.frames = 0
@@ -189,7 +193,7 @@
         return self.unparsed.incomplete_since
 
     def receive(self, data: memoryview | bytes, now: float) -> list[Event]:
-        """Return the events of all complete frames.
+        """Return the events of complete frames: as many as the cost allows, at least one; others are deferred.
 
         After an error, `outgoing` returns the final error frames, and no event of this call is returned.
         """
@@ -197,7 +201,8 @@
         if read is None:
             return []
         events: list[Event] = []
-        at, size = 0, len(read)
+        at, size, cost = 0, len(read), 0
+        self.deferred = False
         while size - at >= LENGTH_BYTES:
             length = int.from_bytes(read[at : at + LENGTH_BYTES], "big")
             if not MIN_FRAME_BYTES <= length <= MAX_FRAME_BYTES:
@@ -207,12 +212,16 @@
             if size - at < LENGTH_BYTES + length:
                 self.unparsed.need = LENGTH_BYTES + length
                 break
-            self._frame(read, at + LENGTH_BYTES, at + LENGTH_BYTES + length, events)
+            if cost >= MAX_COST_PER_RECEIVE:
+                self.deferred = True
+                break
+            cost += self._frame(read, at + LENGTH_BYTES, at + LENGTH_BYTES + length, events)
             at += LENGTH_BYTES + length
         self.unparsed.keep_from(read, at, now)
         return events
 
-    def _frame(self, read: bytes, at: int, end: int, events: list[Event]):
+    def _frame(self, read: bytes, at: int, end: int, events: list[Event]) -> int:
+        """Handle one frame; return its cost."""
         kind, stream = read[at], int.from_bytes(read[at + 1 : at + 5], "big")
         self.frames += 1
         if kind == REQUEST:
@@ -228,7 +237,8 @@
             except FrameError as error:
                 raise self._reject(stream, error) from None
             self.open.add(stream)
-        elif kind == CANCEL:
+            return 1 + len(fields) // FIELDS_PER_COST
+        if kind == CANCEL:
             if not 0 < stream <= self.highest:
                 raise self._reject(0, FrameError(f"expected the number of a request, got {stream}"))
             if stream in self.open:
@@ -238,6 +248,7 @@
             events.append(ReadinessQuery(stream))
         else:
             raise self._reject(0, FrameError(f"expected a frame that clients send, got type {kind}"))
+        return 1
 
     def is_open(self, stream: int) -> bool:
         """Whether a request on the stream waits for its answer: neither answered nor cancelled in what was received."""
@@ -291,4 +302,5 @@
 
     def forget(self) -> None:
         self.unparsed, self.out = UnparsedBytes(), bytearray()
+        self.deferred = False
         self.open.clear()
--- a/sprucespool/relay/lines.py
+++ b/sprucespool/relay/lines.py
@@ -103,6 +103,8 @@
 class InvokerLink:
     """The client side of one connection to an invoker. `clock` returns the time (ms) at the moment of writing."""
 
+    deferred = False
+
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.unparsed = UnparsedBytes()
--- a/sprucespool/transport/listener.py
+++ b/sprucespool/transport/listener.py
@@ -12,10 +12,16 @@
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.transport.acceptor import Acceptor
 from sprucespool.transport.buffers import BufferBudget
+from sprucespool.transport.input_scheduler import InputScheduler
 from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.wire import Wire
 
 CHECK_INTERVAL_SECONDS = 1.0
+# Input of one read, of which a part may wait for later loop iterations.
+MAX_READ_BYTES = 64 * 1024
+# A call that waited for longer behind other input of its connection is refused: no attempt may begin later than this
+# after its client has left, and the end of the connection is behind that input too.
+MAX_BEHIND_MS = 100.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,6 +175,8 @@
             self._lost,
             self._connected,
             budget=listener.buffer_budget,
+            input_scheduler=listener.input_scheduler,
+            max_read_bytes=MAX_READ_BYTES,
         )
         self.name, self.received_any, self.pinged_at = "?", False, 0.0
 
@@ -197,6 +205,7 @@
 
     def _events(self, wire: Wire, events: list[Event]):
         waited = self.waited + wire.last_received_at - wire.opened if self.waited else 0.0
+        waited = max(waited, wire.behind_ms)
         self.waited, self.received_any = 0.0, True
         for event in events:
             try:
@@ -220,6 +229,8 @@
     def _start(self, event: CallStarted, waited: float):
         listener = self.listener
         call = ServerCall(self.wire, event, self.wire.last_received_at, self.name, waited)
+        if self.wire.behind_ms > MAX_BEHIND_MS:
+            return call.finish(Status.RESOURCE_EXHAUSTED, "read too long after it was sent")
         method = listener.methods.get(event.path)
         if method is None:
             listener.reject_unknown(call)
@@ -296,6 +307,7 @@
         self.loop = asyncio.get_running_loop()
         self.ledger = ReceiveBudget(server.half_received)
         self.buffer_budget = BufferBudget(server.buffers)
+        self.input_scheduler = InputScheduler()
         self.peers: dict[_Peer, None] = {}
         self.accepted = self.turned_away = 0
         self.end_counts: dict[str, int] = {}
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -9,7 +9,9 @@
 
 from sprucespool.links import Link, LinkError
 from sprucespool.transport.buffers import BufferBudget
-from sprucespool.transport.read_buffer import read_buffer
+from sprucespool.transport.input_scheduler import InputScheduler
+from sprucespool.transport.peer_state import has_peer_closed
+from sprucespool.transport.read_buffer import READ_BUFFER_SIZE, read_buffer
 
 HIGH_WATER_BYTES = 256 * 1024
 # Limit for control frames that a peer provokes but does not read.
@@ -48,8 +50,14 @@
         on_made: Callable[[Wire], None] | None = None,
         high_water: int = HIGH_WATER_BYTES,
         budget: BufferBudget | None = None,
+        input_scheduler: InputScheduler | None = None,
+        max_read_bytes: int = READ_BUFFER_SIZE,
     ):
         self.high_water, self.budget = high_water, budget
+        # Handles input that the link defers; without one the link must not defer any.
+        self.input_scheduler = input_scheduler
+        # Since when (ms) input waits that was not handled or not even read; None while there is none.
+        self.behind_since: float | None = None
         # Closing a connection with unread input resets it, which would discard the final output. The final output is
         # therefore written after `delay` ms, and input is read for another `linger` ms. With `linger` 0 the connection
         # is closed as soon as the output is written.
@@ -66,7 +74,8 @@
         self.link, self.on_events, self.on_lost, self.on_made = link, on_events, on_lost, on_made
         self.loop = asyncio.get_running_loop()
         # Shared with the other connections of the loop, so that thousands of idle ones need no buffers of their own.
-        self._read_buffer = read_buffer()
+        self._read_buffer = read_buffer()[:max_read_bytes]
+        self._read_count = 0
         self.transport: asyncio.Transport | None = None
         self.paused, self.scheduled, self.lost = False, False, False
         # Since when (ms) the system accepts no more bytes; infinity while it does.
@@ -93,9 +102,25 @@
     def buffer_updated(self, nbytes: int) -> None:
         if self.lost:
             return
+        self._read_count += 1
         self.last_received_at = self.loop.time() * 1000.0
+        if nbytes < len(self._read_buffer):
+            self.behind_since = None
+        elif self.input_scheduler is not None:
+            # The system may hold more, with the end of the connection behind it.
+            if self._end_if_peer_closed():
+                return
+            self.loop.call_soon(self._expect_read, self._read_count)
+        self._handle_input(self._read_buffer[:nbytes])
+        if self.input_scheduler is not None and self.link.deferred and not self.lost:
+            if self.behind_since is None:
+                self.behind_since = self.last_received_at
+            self._pause_reading()
+            self.input_scheduler.defer(self)
+
+    def _handle_input(self, data: memoryview):
         try:
-            events = self.link.receive(self._read_buffer[:nbytes], self.last_received_at)
+            events = self.link.receive(data, self.last_received_at)
         except LinkError as error:
             return self.end(str(error), at_once=self.abort_on_invalid_input)
         if events:
@@ -103,6 +128,52 @@
         self._count_buffers()
         self.flush_soon()
 
+    def handle_deferred(self) -> bool:
+        """Handles the next part of the input that the link deferred; returns whether more is left."""
+        if self.lost or self.transport is None:
+            return False
+        if self._end_if_peer_closed():
+            return False
+        self._handle_input(self._read_buffer[:0])
+        if self.lost or self.link.deferred:
+            return not self.lost
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+        self.loop.call_soon(self._expect_read, self._read_count)
+        return False
+
+    def _pause_reading(self):
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def _end_if_peer_closed(self) -> bool:
+        """Discards what a peer that has closed its end still had to say: nobody waits for an answer."""
+        if self.transport is None or not self.peer_has_closed:
+            return False
+        self.transport.abort()
+        self._report_lost("closed by the peer")
+        return True
+
+    def _expect_read(self, read_count: int, polled: bool = False):
+        """Notices that nothing more was unread: the socket has been polled, and no read followed."""
+        if self._read_count != read_count or self.link.deferred:
+            return
+        if polled:
+            self.behind_since = None
+        else:
+            # This iteration polled the socket; its read, if any, is run after this callback.
+            self.loop.call_soon(self._expect_read, read_count, True)
+
+    @property
+    def behind_ms(self) -> float:
+        """How long (ms) input that is handled now may have waited behind other input of this connection."""
+        return 0.0 if self.behind_since is None else self.loop.time() * 1000.0 - self.behind_since
+
+    @property
+    def peer_has_closed(self) -> bool:
+        """Whether the peer has closed its end, though that has perhaps not been read yet."""
+        return self.lost or self.transport is not None and has_peer_closed(self.transport.get_extra_info("socket"))
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of incomplete input and of output that the system has not accepted yet."""
@@ -201,6 +272,8 @@
     def _report_lost(self, why: str):
         if not self.lost:
             self.lost = True
+            if self.input_scheduler is not None:
+                self.input_scheduler.forget(self)
             self.on_lost(self, why)
             self.link.forget()
             self._count_buffers()
@@ -221,7 +294,7 @@
     def _close_after(self, out: bytes):
         assert self.transport is not None
         if self.linger and self.delay:
-            self.transport.pause_reading()
+            self._pause_reading()
             self._final_output = out
             self._close_timer = self.loop.call_later(self.delay / 1000.0, self._write_final)
         elif self.linger:
