A request id that comes again after its client left does not run again

Cause: all that was known of a request went with its client (GatewayServer._done), though its attempt may have run; and its id counted as in use until the end of the old connection was read. Class: state that a promise needs is dropped with the connection that brought it.

Evidence: four cases of tests/test_clients_that_left.py sent two attempts under one id (classes once and publish, at once and 0.3 s later), one case lost its connection. 'Requests sent on' with 32 requests and up to 1.5 MB behind them unread did not show in any of its six cases: 0 attempts after the client had left, before and after.

Change: ids whose attempts may have run are kept (2% of the memory, latest longest) and failed when they come again, unless the class may simply be repeated. An attempt that was never handed to a socket clears its id. A connection whose peer has closed gives up its ids at once. After: all cases pass.

--- a/sprucespool/node/gateway_server.py
+++ b/sprucespool/node/gateway_server.py
@@ -17,6 +17,7 @@
 from sprucespool.node.clients import ClientConnection, ClientListener
 from sprucespool.node.invokers import Invoker, InvokerRequest
 from sprucespool.node.logs import Log
+from sprucespool.node.recent_requests import RecentRequests
 from sprucespool.node.reports import Reports
 from sprucespool.relay.configuration import Configuration
 from sprucespool.relay.feed import Roster
@@ -36,9 +37,13 @@
 OPEN_INFERENCES_SHARE, INVOKER_BUFFERS_SHARE = 0.18, 0.1
 # What an open inference takes beside its body.
 INFERENCE_OVERHEAD_BYTES = 3 * 1024
+# Share of the memory for the ids of requests that must not run again.
+RECENT_REQUESTS_SHARE = 0.02
 # A request that waited for longer behind other input of its connection is refused: no attempt may begin later than this
 # after its client has left, and the end of the connection is behind that input too.
 MAX_BEHIND_MS = 100.0
+# Outcomes that prove that an attempt never ran.
+NEVER_RAN = frozenset({it.Outcome.FULL, it.Outcome.UNCONNECTED, it.Outcome.NOT_SENT, it.Outcome.MISS})
 
 
 @dataclass(slots=True, eq=False)
@@ -53,6 +58,8 @@
     # When the client gives up, as closely as the controller can tell.
     deadline: float
     forwards: list[str] = field(default_factory=list)
+    # Attempts that may have run or may still run.
+    possible_runs: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -94,6 +101,7 @@
         self.leaving: dict[Invoker, None] = {}
         self.last_number = self.held_bytes = self.turned_away = 0
         self.max_held_bytes = int(OPEN_INFERENCES_SHARE * config.memory_mb * 2**20)
+        self.recent_requests = RecentRequests(int(RECENT_REQUESTS_SHARE * config.memory_mb * 2**20))
         self.ready = False
         # When all open calls must be answered (ms); None until the process is asked to stop.
         self.answers_due_at: float | None = None
@@ -181,8 +189,11 @@
 
     def request_received(self, connection: ClientConnection, request: Request) -> bool:
         """Returns False if an open inference has the same id: its answer could not be told from the other's."""
-        if request.id in self.calls_by_request_id:
+        if self._is_id_in_use(connection, request):
             return False
+        if self.recent_requests.may_have_run(request.id):
+            self._answer_without_attempt(connection, request, "its id came before and may have run", shed=False)
+            return True
         behind_ms = connection.wire.behind_ms
         if behind_ms > MAX_BEHIND_MS:
             self._answer_without_attempt(connection, request, f"read {behind_ms:.0f} ms behind other input", shed=True)
@@ -217,6 +228,15 @@
         self.batch.add(message)
         return True
 
+    def _is_id_in_use(self, connection: ClientConnection, request: Request) -> bool:
+        other = self.calls_by_request_id.get(request.id)
+        if other is None:
+            return False
+        if other.connection is not connection and other.connection.wire.peer_has_closed:
+            # The client came again before the end of its first connection was read.
+            other.connection.wire.end("closed by the peer", at_once=True)
+        return request.id in self.calls_by_request_id
+
     def _answer_without_attempt(self, connection: ClientConnection, request: Request, why: str, shed: bool):
         """Refuse the request (`shed`: a retry does no harm) or fail it."""
         self.turned_away += 1
@@ -240,6 +260,8 @@
         if self.calls.pop(call.id, None) is None:
             return
         del self.calls_by_request_id[call.request.id]
+        if call.possible_runs and self.gateway.groups[call.request.group].effect is not it.Effect.RETRIABLE:
+            self.recent_requests.add(call.request.id)
         self.held_bytes -= INFERENCE_OVERHEAD_BYTES + len(call.request.body)
         # An attempt may go on where it can't be called off: it must not keep a body that no limit counts any more.
         call.request.body = b""
@@ -290,6 +312,7 @@
         forward = self.in_flight[effect.forward] = _Forward(call, effect.invoker)
         request = call.request
         call.forwards.append(effect.invoker)
+        call.possible_runs += 1
         now, deployment = self.batch.now(), self.config.deployment
         deadline = min(now + effect.time_out, call.deadline)
         # Written later than this, it might reach an invoker that no longer drops it as a repeat.
@@ -308,6 +331,8 @@
             return
         self.ended_forwards.append(number)
         outcome = result.outcome if isinstance(result, Answer) else result
+        if outcome in NEVER_RAN:
+            self._attempt_never_ran(forward.call)
         if isinstance(result, Answer):
             if result.outcome is it.Outcome.FULL:
                 self.reports.add_refusal(forward.invoker, forward.call.request.id)
@@ -338,10 +363,15 @@
                 ms=round(self.batch.now() - (forward.request.created_at if forward.request else 0.0), 1),
             )
 
+    def _attempt_never_ran(self, call: _Call):
+        call.possible_runs -= 1
+        if not call.possible_runs and call.id not in self.calls:
+            self.recent_requests.discard(call.request.id)
+
     def _recall(self, effect: ms.Recall):
         forward = self.in_flight.pop(effect.forward, None)
-        if forward is not None and forward.request is not None:
-            forward.request.cancel()
+        if forward is not None and forward.request is not None and not forward.request.cancel():
+            self._attempt_never_ran(forward.call)
 
     def _send_order_or_probe(
         self, number: int, name: str, tag: str, write: Callable, on_end: Callable[[Answer | it.Outcome], None]
--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -79,13 +79,15 @@
         except Exception as error:  # must not keep the other requests of the connection from their ends
             report_unexpected(f"end of request {self.tag} to an invoker", error)
 
-    def cancel(self) -> None:
-        if not self.ended:
-            self._release()
-            if self.conn is not None:
-                self.conn.cancel(self)
-            else:
-                self.invoker.withdraw(self)
+    def cancel(self) -> bool:
+        """Returns False if nothing of the request was handed to a socket, so that it has certainly not run."""
+        if self.ended:
+            return True
+        self._release()
+        if self.conn is not None:
+            return self.conn.cancel(self)
+        self.invoker.withdraw(self)
+        return False
 
     def _release(self):
         """Let go of the caller, which refers to this request: bodies must not wait for the garbage collector."""
@@ -121,9 +123,10 @@
         if not self.requests:
             slot.idle_since = self.invoker.now()
 
-    def cancel(self, request: InvokerRequest):
+    def cancel(self, request: InvokerRequest) -> bool:
+        """Returns False if nothing of the request was handed to the socket."""
         if self.requests.pop(request.tag, None) is None:
-            return
+            return True
         left = self.link.give_up(request.tag)
         if (
             left
@@ -135,6 +138,7 @@
             self.invoker.loop.call_later(CANCELLED_WRITE_TIMEOUT_SECONDS, self._end_if_unwritten, request.tag)
         self.note()
         self.wire.flush_soon()
+        return left
 
     def _end_if_unwritten(self, tag: str):
         """Prevents a request from starting at the invoker long after its client has left."""
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -9,10 +9,12 @@
 from platform_scene import InvokerStandIn, RawClient, Scene, hit, run_scene
 from platform_world import frame, request_frame, settings_of_all_effects
 
+from sprucespool.node.recent_requests import ENTRY_BYTES, RecentRequests
+
 pytestmark = pytest.mark.sockets
 
 READINESS_QUERY = 32
-FAILED, SERVED = 2, 0
+SERVED, FAILED, REFUSED = 0, 2, 14
 FIRST_ID = 1 << 32
 # No attempt begins later after its client has left; the rest allows for delays of a busy machine.
 LEFT_ALLOWANCE_SECONDS = 0.1 + 0.05
@@ -101,6 +103,36 @@
     run_scene(scene)
 
 
+def test_an_id_whose_attempt_still_waited_for_a_connection_is_not_failed_when_it_comes_again():
+    """Guards against: an attempt that was withdrawn before it was written counts as one that may have run."""
+
+    async def scene():
+        invoker = InvokerStandIn(full=True)
+        async with Scene(invoker, settings=settings_of_all_effects()) as world:
+            request = request_frame(1, id=identifier(1), **{"class": "once"})
+            first = await world.client()
+            first.send(request)
+            await asyncio.sleep(0.1)
+            first.close()
+            await asyncio.sleep(0.1)
+            await invoker.accept_now()
+            again = await world.client()
+            again.send(request)
+            ((kind, _, code),) = await again.answers(1)
+            assert kind == 17 and code in (SERVED, REFUSED)
+            assert not world.node.server.recent_requests.may_have_run(identifier(1)) or code == SERVED
+
+    run_scene(scene)
+
+
+def test_recent_ids_are_kept_within_their_limit_the_latest_longest():
+    """Guards against: ids that clients choose fill the memory."""
+    recent = RecentRequests(3 * ENTRY_BYTES)
+    for name in ("a", "b", "c", "a", "d"):
+        recent.add(name)
+    assert [name for name in "abcd" if recent.may_have_run(name)] == ["a", "c", "d"]
+
+
 def test_an_id_that_comes_again_before_the_end_of_its_first_connection_is_read_keeps_the_new_connection():
     """Guards against: the id still counted as in use, so the client's new connection was ended as a bad one."""
 
