What clients name and what has ended stays within the memory

Cause, four stores without a limit by the memory: what the module knows of a model was kept for three keep-alives; due items of the module and scheduled entries of the gateway kept each ended request until its deadline, each forgotten model until its next check; a connection to an invoker remembered 20,000 tags. Class: peers choose the key or the rate, and only time releases.

Change: KnownModels (policy) keeps at most max_models (10% of the memory on the platform); those requested once go first, the longest unused, never one at work. Heaps are swept when half of them has ended. Tags are kept for 10 s.

--- a/sprucespool/gateway/core.py
+++ b/sprucespool/gateway/core.py
@@ -33,6 +33,8 @@
 }
 # Number of known names at which unused ones are removed. Without this, models named only once would fill the memory.
 MODEL_SWEEP_COUNT, INVOKER_SWEEP_COUNT = 4096, 256
+# Number of scheduled entries at which those of calls, forwards and orders that have ended are removed.
+SCHEDULE_SWEEP_COUNT = 2048
 
 
 class Decider(Protocol):
@@ -143,6 +145,7 @@
         self._forward_numbers: dict[it.Forward, int] = {}
         self._last_number, self._sequence = 0, 0
         self._schedule_heap: list[tuple[float, int, _PendingCall | _SentForward | _SentOrder | None, int]] = []
+        self._schedule_sweep_count = SCHEDULE_SWEEP_COUNT
         self._wake_at = math.inf
         self._queued_batches: deque[tuple[float, list[ms.Input]]] = deque()
         self._processing, self._model_sweep_count, self._invoker_sweep_count = (
@@ -201,6 +204,8 @@
         if len(self.invokers) >= self._invoker_sweep_count:
             # Only after the module has processed the batch: until then it may name an invoker that the batch removes.
             self._sweep_invokers()
+        if len(self._schedule_heap) >= self._schedule_sweep_count:
+            self._sweep_schedule()
         if self._schedule_heap and self._schedule_heap[0][0] < self._wake_at:
             self._wake_at = self._schedule_heap[0][0]
             self.port(ms.WakeAt(self._wake_at))
@@ -222,6 +227,19 @@
         self._sequence += 1
         heapq.heappush(self._schedule_heap, (at, self._sequence, entry, token))
 
+    def _sweep_schedule(self):
+        """Removes entries of what has ended: until their time comes they would keep all that belongs to it."""
+        self._schedule_heap = [item for item in self._schedule_heap if self._is_pending(item[2], item[3])]
+        heapq.heapify(self._schedule_heap)
+        self._schedule_sweep_count = max(SCHEDULE_SWEEP_COUNT, 2 * len(self._schedule_heap))
+
+    def _is_pending(self, entry: _PendingCall | _SentForward | _SentOrder | None, token: int) -> bool:
+        if isinstance(entry, _PendingCall):
+            return not entry.finished
+        if isinstance(entry, _SentForward):
+            return token in self.sent
+        return entry is None or token in self.orders
+
     def _refuse_action(self, why: str, call: str):
         if call in self._finished_in_batch:
             return
--- a/sprucespool/interface.py
+++ b/sprucespool/interface.py
@@ -66,6 +66,10 @@
     UNAVAILABLE = "unavailable"
 
 
+# For deployments that don't say how much memory there is.
+DEFAULT_MAX_MODELS = 16_384
+
+
 @dataclass(slots=True, eq=False)
 class ModelGroup:
     name: str
@@ -133,6 +137,8 @@
     memory_mb: dict[str, float]
     crossing_price: float
     handshake_price: float
+    # Models of which the decision module keeps what it has learned; clients name them, and each takes memory.
+    max_models: int = DEFAULT_MAX_MODELS
 
 
 @dataclass(slots=True, eq=False)
--- a/sprucespool/node/gateway_server.py
+++ b/sprucespool/node/gateway_server.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from sprucespool import interface as it
@@ -39,6 +39,8 @@
 INFERENCE_OVERHEAD_BYTES = 3 * 1024
 # Share of the memory for the ids of requests that must not run again.
 RECENT_REQUESTS_SHARE = 0.02
+# Share of the memory for what is known of models, and what one of them takes.
+MODELS_SHARE, MODEL_BYTES = 0.1, 2560
 # A request that waited for longer behind other input of its connection is refused: no attempt may begin later than this
 # after its client has left, and the end of the connection is behind that input too.
 MAX_BEHIND_MS = 100.0
@@ -77,7 +79,8 @@
 
     def __init__(self, config: Configuration, log: Log, clock: AnchoredClock):
         self.config, self.log, self.clock = config, log, clock
-        self.gateway = Gateway(config.deployment, config.seed, self._effect)
+        max_models = min(it.DEFAULT_MAX_MODELS, max(1, int(MODELS_SHARE * config.memory_mb * 2**20 / MODEL_BYTES)))
+        self.gateway = Gateway(replace(config.deployment, max_models=max_models), config.seed, self._effect)
         self.batch = InputBatcher(self.gateway.take, self._after_batch)
         self.loop = self.batch.loop
         self.roster = Roster()
--- a/sprucespool/policy/beliefs.py
+++ b/sprucespool/policy/beliefs.py
@@ -126,6 +126,8 @@
         self.load_time: float | None = None
         # `recent_requests` decays over a keep-alive.
         self.request_count, self.last_request_at, self.recent_requests = 0, 0.0, 0.0
+        # Requests that have not been answered yet.
+        self.open_requests = 0
         self.shared_order = shared_order
         # By worker: expiry of the entry and its number of copies; own lanes in use; own loads; every worker that has
         # held the model; expiry of the entry if it rests on a report by another controller.
@@ -135,6 +137,11 @@
         self.holders: dict[Worker, None] = {}
         self.reported: dict[Worker, float] = {}
 
+    @property
+    def at_work(self) -> bool:
+        """Whether a request, an attempt or an own load for the model has not ended yet."""
+        return bool(self.open_requests or self.lanes_in_use or self.loads)
+
 
 class AttemptBelief:
     """An attempt in flight. `cold`: no own entry says that the worker holds the model.
--- a/sprucespool/policy/controller.py
+++ b/sprucespool/policy/controller.py
@@ -61,6 +61,7 @@
     is_zone_allowed,
 )
 from sprucespool.policy.chance import Chance
+from sprucespool.policy.known_models import KnownModels
 from sprucespool.policy.order_ration import OrderRation
 from sprucespool.policy.own_traffic import OwnTraffic
 from sprucespool.policy.readiness import Readiness
@@ -93,6 +94,10 @@
 )
 # Own requests within a keep-alive that keep one of a popular model's places warm.
 REQUESTS_PER_PLACE = 2.0
+# Scheduled checks of models, beside two for each known model, from which on those of forgotten models are removed.
+MIN_CHECKS_SWEPT = 1024
+# Number of due items at which those of what has ended are removed.
+DUE_SWEEP_COUNT = 2048
 # Number of shared orders of the invokers, for all models together.
 SHARED_ORDERS = 1024
 # In a large fleet, if no worker of a partial shared order fits: number of random other workers to try.
@@ -127,13 +132,14 @@
         # Heap of due items by time: a request's deadline, the timeout of a load or of a readiness check, or a new
         # subscription to the list of workers (None).
         self.due_items: list[tuple[float, int, Inference | OwnLoad | ReadinessCheck | None]] = []
+        self.due_sweep_count = DUE_SWEEP_COUNT
         self.fleet: Fleet[Worker] = Fleet()
         # Workers in service that may be suspects; heap of models by the time of their next check.
         self.suspects: dict[Worker, None] = {}
         self.model_checks: list[tuple[float, int, ModelBelief]] = []
         self.shared_orders: dict[int, SharedOrder[Worker]] = {}
         # Models with a belief, and the number ever created; requests that no worker has room for.
-        self.known_models: dict[ModelBelief, None] = {}
+        self.known_models = KnownModels(deployment.max_models)
         self.models_created = 0
         self.parked: dict[Inference, None] = {}
         self.loads: dict[OwnLoad, None] = {}
@@ -250,6 +256,8 @@
     def _arrived(self, event: Arrived):
         request, now = event.inference, self.now
         model_belief = self._model_belief(request.model)
+        model_belief.open_requests += 1
+        self.known_models.requested(model_belief)
         self.traffic.arrived(model_belief, now, request.zones is not None)
         model_belief.lanes, model_belief.load_time = (
             request.lanes or model_belief.lanes,
@@ -270,7 +278,9 @@
             model.belief = ModelBelief(
                 model, self.models_created, self.shared_orders.setdefault(order_number, SharedOrder(order_number))
             )
-            self.known_models[model.belief] = None
+            for unused in self.known_models.displaced():
+                self._forget_model(unused)
+            self.known_models.add(model.belief)
             self._schedule_check(model.belief, self.now + MAX_IDLE_KEEP_ALIVES * self.deployment.keep_alive)
         return model.belief
 
@@ -279,6 +289,7 @@
         belief, request.belief = request.belief, None
         if belief is None:
             return
+        request.model.belief.open_requests -= 1
         self._stop_waiting(request, belief)
         self.parked.pop(request, None)
         if belief.check is not None:
@@ -680,7 +691,7 @@
         due = []
         while self.model_checks and self.model_checks[0][0] <= self.now:
             at, _, model_belief = heapq.heappop(self.model_checks)
-            if at == model_belief.check_at:
+            if at == model_belief.check_at and model_belief in self.known_models:
                 due.append(model_belief)
                 model_belief.check_at = math.inf
         for model_belief in sorted(due, key=lambda model_belief: model_belief.number):
@@ -713,11 +724,20 @@
                 and worker not in model_belief.reported
             ):
                 self._send_order(model_belief, worker)
-        elif idle and not model_belief.warm and not model_belief.lanes_in_use and not model_belief.loads:
-            model_belief.model.belief = None
-            del self.known_models[model_belief]
-            for worker in model_belief.holders:
-                worker.models_held.pop(model_belief, None)
+        elif idle and not model_belief.warm and not model_belief.at_work:
+            self._forget_model(model_belief)
+
+    def _forget_model(self, model_belief: ModelBelief):
+        model_belief.model.belief = None
+        self.known_models.remove(model_belief)
+        for worker in model_belief.holders:
+            worker.models_held.pop(model_belief, None)
+        if len(self.model_checks) > 2 * len(self.known_models) + MIN_CHECKS_SWEPT:
+            # Checks of forgotten models would keep them until their time comes.
+            self.model_checks = [
+                check for check in self.model_checks if check[2] in self.known_models and check[0] == check[2].check_at
+            ]
+            heapq.heapify(self.model_checks)
 
     # Rules
 
@@ -1026,6 +1046,18 @@
 
     def _schedule(self, at: float, item: Inference | OwnLoad | ReadinessCheck | None):
         heapq.heappush(self.due_items, (at, self.chance.reserve(), item))
+        if len(self.due_items) >= self.due_sweep_count:
+            # Items of what has ended would keep all that belongs to it until their time comes.
+            self.due_items = [due for due in self.due_items if due[2] is item or self._is_pending(due[2])]
+            heapq.heapify(self.due_items)
+            self.due_sweep_count = max(DUE_SWEEP_COUNT, 2 * len(self.due_items))
+
+    def _is_pending(self, item: Inference | OwnLoad | ReadinessCheck | None) -> bool:
+        if isinstance(item, Inference):
+            return item.belief is not None
+        if isinstance(item, ReadinessCheck):
+            return item.worker.check is item
+        return item is None or item in self.loads
 
     def _timer_due(self, event: TimerDue):
         if event.token == UPDATE_TIMER:
--- a/sprucespool/relay/lines.py
+++ b/sprucespool/relay/lines.py
@@ -17,6 +17,8 @@
 
 MAX_LINE_BYTES, MAX_BODY_BYTES = 4096, 262_144
 LINE_END = b"\r\n"
+# How long a tag is remembered after its use: an answer to a request that has ended may still arrive.
+TAG_LIFE_MS = 10_000.0
 _WORD = re.compile(rb"[!-~]{1,512}\Z")
 _LENGTH = re.compile(rb"[0-9]{1,7}\Z")
 _WHOLE_NUMBER = re.compile(r"[0-9]{1,9}\Z")
@@ -109,8 +111,9 @@
         self.clock = clock
         self.unparsed = UnparsedBytes()
         self.open: dict[str, str] = {}
-        # Tags already used on this connection: a late or duplicate answer must not end a later run with the same id.
-        self.used_tags: dict[str, None] = {}
+        # Tags used on this connection in the last TAG_LIFE_MS, with their times, the oldest first: a late or duplicate
+        # answer must not end a later run with the same id.
+        self.used_tags: dict[str, float] = {}
         self.unsent: dict[str, _Line] = {}
         # Tag of the line that was returned last; the socket may have written only a part of it.
         self.last_written = ""
@@ -137,7 +140,16 @@
     def _ask(self, kind: str, tag: str, line: _Line):
         if tag in self.used_tags:
             raise SendNotAllowed(f"{tag} was already used on this connection")
-        self.open[tag], self.used_tags[tag], self.unsent[tag] = kind, None, line
+        now = self.clock()
+        self._forget_old_tags(now)
+        self.open[tag], self.used_tags[tag], self.unsent[tag] = kind, now, line
+
+    def _forget_old_tags(self, now: float):
+        while self.used_tags:
+            oldest = next(iter(self.used_tags))
+            if oldest in self.open or now - self.used_tags[oldest] < TAG_LIFE_MS:
+                return
+            del self.used_tags[oldest]
 
     def run(
         self,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,6 +11,7 @@
 from sprucespool import interface as it
 from sprucespool.gateway import Gateway, Recorder, ReplayError, replay
 from sprucespool.gateway import messages as ms
+from sprucespool.gateway.core import SCHEDULE_SWEEP_COUNT
 
 FINAL = (ms.AnswerReturned, ms.AnswerShed, ms.AnswerFailed, ms.StreamBegun, ms.Rejected)
 
@@ -120,6 +121,17 @@
     assert len(effects(ms.WakeAt, emitted)) - before <= 2
 
 
+def test_calls_that_have_ended_are_not_kept_until_their_deadline():
+    """Guards against: a client that takes back ever new calls fills the memory for as long as each could have taken."""
+    gateway, emitted = started_gateway()
+    for number in range(3 * SCHEDULE_SWEEP_COUNT):
+        gateway.take(1.0, [ms.Call(f"c{number}", "line", "m", 60_000.0), ms.Left(f"c{number}")])
+    assert len(gateway._schedule_heap) <= SCHEDULE_SWEEP_COUNT
+    gateway.take(2.0, [ms.Call("last", "line", "m", 60_000.0)])
+    gateway.take(2.0, [ms.Left("last")])
+    assert gateway.owed == 0
+
+
 def test_begun_stream_has_no_timeout_and_its_break_ends_the_call():
     gateway, emitted = started_gateway()
     gateway.take(1.0, [ms.Call("c", "live", "m", 500.0)])
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,7 +11,7 @@
 from platform_world import DEPLOYMENT, SETTINGS, configuration, frame, request_frame
 from receiving import receive_all
 from sprucespool import interface as it
-from sprucespool.links import LinkError
+from sprucespool.links import LinkError, SendNotAllowed
 from sprucespool.relay import frames as fr
 from sprucespool.relay import lines as ln
 from sprucespool.relay.configuration import ConfigurationError, read
@@ -47,6 +47,20 @@
     assert link.open == {1}
 
 
+def test_tags_of_ended_requests_are_forgotten_after_their_life():
+    """Guards against: a connection in use remembers each request that it ever carried."""
+    now = 0.0
+    link = ln.InvokerLink(lambda: now)
+    for number in range(200):
+        now = number * ln.TAG_LIFE_MS / 100
+        link.order(f"o{number}", "7f3a9c21e0b4d655", 1)
+        link.outgoing()
+        assert len(link.receive(f"o{number} HIT n=1 0\r\n\r\n".encode(), now)) == 1
+    assert len(link.used_tags) <= 101
+    with pytest.raises(SendNotAllowed):
+        link.order("o150", "7f3a9c21e0b4d655", 1)
+
+
 @given(CUTS)
 def test_many_frames_are_handled_in_parts_and_in_order(cuts):
     """Guards against: one read's frames are all handled at once, or some of those left over are lost or reordered."""
