A new process at an old address is not taken for the one that has gone

Two cases show. (1) Another name announced at the address of a listed invoker, whose removal comes later or not at all: both names stayed in service, so the new process got the old one's work, as a warm one, and a repeat 'elsewhere' could reach the process of the first try. (2) Over gRPC, where the address is the name: a new boot kept the pool of the old process with its connections and with the calls that waited in it.

Class: a process is identified by an address that outlives it.

Change: the platform's roster counts an invoker as gone when another is announced at its address; the gRPC controller's pools, in a module of their own now, belong to a process: a new boot retires the pool, its waiting calls end as never sent.

--- a/sprucespool/daemon/gateway_server.py
+++ b/sprucespool/daemon/gateway_server.py
@@ -20,8 +20,9 @@
 from sprucespool.grpc.events import Answered, Drained, Message, Reset
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.policy import Controller
-from sprucespool.settings.controller import ControllerPlan, ModelTable, address, deployment
+from sprucespool.settings.controller import ControllerPlan, ModelTable, deployment
 from sprucespool.transport.listener import Method, ServerCall, unary
+from sprucespool.daemon.invoker_pools import InvokerPools
 from sprucespool.transport.buffers import BufferBudget
 from sprucespool.transport.errors import report_unexpected
 from sprucespool.transport.plan import PoolLimits
@@ -86,7 +87,7 @@
         self.models = ModelTable(plan.models)
         self.clients: dict[str, _Client] = {}
         self.in_flight: dict[int, _Forward] = {}
-        self.pools: dict[str, Pool] = {}
+        self.pools = InvokerPools(self._create_pool)
         self.pending_requests: dict[int, PoolCall] = {}
         self.peers = {peer.number: peer.address for peer in plan.peers}
         # Forwards whose end was reported to the gateway: it may use a result until it has taken that report, not later.
@@ -143,17 +144,7 @@
     def add_input(self, item: ms.Input) -> None:
         self.batch.add(item)
         if isinstance(item, ms.Roster):
-            self._withdraw_waiting_calls(item)
-
-    def _withdraw_waiting_calls(self, change: ms.Roster):
-        """Withdraw calls that wait for a connection to an invoker that is draining or has left, so that the gateway
-        tries other invokers."""
-        serving = {row.invoker for row in change.rows if row.status == it.Status.IN_SERVICE.value}
-        whole = change.kind == it.News.REPLACE.value
-        named = list(self.pools) if whole else [row.invoker for row in change.rows]
-        for name in named:
-            if name in self.pools and name not in serving:
-                self.pools[name].withdraw_waiting("the invoker drains or has left")
+            self.pools.apply(item)
 
     def _after_batch(self):
         ended, self.ended_forwards = self.ended_forwards, []
@@ -327,15 +318,10 @@
 
     # Forwards to invokers
 
-    def pool(self, name: str) -> Pool:
-        if name not in self.pools:
-            host, port = address(name)
-            # Each pool of each controller has its own random backoff pauses.
-            seed = self.plan.seed * 1000 + self.plan.controller.number + len(self.pools) * 7919
-            self.pools[name] = Pool(
-                host, port, self.invoker_limits, self.pool_limits, seed, self.batch.pace, self.invoker_buffers
-            )
-        return self.pools[name]
+    def _create_pool(self, host: str, port: int, number: int) -> Pool:
+        # Each pool of each controller has its own random backoff pauses.
+        seed = self.plan.seed * 1000 + self.plan.controller.number + number * 7919
+        return Pool(host, port, self.invoker_limits, self.pool_limits, seed, self.batch.pace, self.invoker_buffers)
 
     def _forward(self, effect: ms.SendForward):
         client = self.clients.get(effect.call)
@@ -351,7 +337,7 @@
             self.failover.forward_sent(effect.forward, effect.invoker, client.group)
         client.forwards.append(effect.invoker)
         metadata = {**self.own_metadata, **({names.PREVIOUS_ATTEMPTS: str(effect.attempt)} if effect.attempt else {})}
-        forward.pool_call = self.pool(effect.invoker).call(
+        forward.pool_call = self.pools.get(effect.invoker).call(
             client.path,
             metadata,
             effect.time_out,
@@ -516,7 +502,7 @@
             else:
                 on_end(it.Outcome.UNCONNECTED if isinstance(event, Unconnected) else it.Outcome.RESET, {})
 
-        self.pending_requests[number] = self.pool(invoker).call(
+        self.pending_requests[number] = self.pools.get(invoker).call(
             path, dict(self.own_metadata), time_out, message, on_event
         )
 
@@ -577,8 +563,7 @@
                 )
 
     def _close_idle(self, effect: ms.CloseIdle):
-        if effect.invoker in self.pools:
-            self.pools[effect.invoker].close_idle()
+        self.pools.close_idle(effect.invoker)
 
     def _beliefs(self, effect: ms.BeliefsGiven):
         if effect.token == VIEW_TOKEN and self.fleet is not None:
@@ -591,10 +576,7 @@
 
     def _check(self):
         self.check_timer = self.loop.call_later(CHECK_INTERVAL_SECONDS, self._check)
-        for name, pool in list(self.pools.items()):
-            pool.check()
-            if pool.quiet and name not in self.gateway.invokers:
-                del self.pools[name]
+        self.pools.check(self.gateway.invokers)
 
     # Shutdown
 
@@ -618,8 +600,7 @@
             self.exchange.stop()
         self.check_timer.cancel()
         self.batch.close()
-        for pool in self.pools.values():
-            pool.close()
+        self.pools.close()
 
 
 def _simple_method(response: Callable[[], Any]) -> Method:
--- a/sprucespool/relay/feed.py
+++ b/sprucespool/relay/feed.py
@@ -260,6 +260,8 @@
         self.last = number
         if change.whole:
             self.places = {}
+        else:
+            rows = self._displaced(rows) + rows
         for row, place in rows:
             if row.status == it.Status.GONE.value:
                 self.places.pop(row.invoker, None)
@@ -269,6 +271,16 @@
         listed = [row for row, _ in rows if not change.whole or row.status != it.Status.GONE.value]
         return [ms.Roster(kind.value, change.version, listed)]
 
+    def _displaced(self, rows: list[tuple[ms.Row, Place]]) -> list[tuple[ms.Row, Place]]:
+        """The invokers at whose addresses others are announced: only one process listens at an address."""
+        named = {row.invoker for row, _ in rows}
+        taken = {(place.host, place.port) for row, place in rows if row.status != it.Status.GONE.value}
+        return [
+            (ms.Row(name, status=it.Status.GONE.value), place)
+            for name, place in self.places.items()
+            if name not in named and (place.host, place.port) in taken
+        ]
+
     def _row(self, number: int, host: Any, unix: float) -> tuple[ms.Row, Place]:
         if not isinstance(host, dict):
             raise EntryError(f"event {number}: expected hosts as objects")
--- a/sprucespool/transport/pool.py
+++ b/sprucespool/transport/pool.py
@@ -235,6 +235,13 @@
         for call in self.take_waiting():
             call.end(Unconnected(why))
 
+    def retire(self, why: str) -> None:
+        """Begin nothing new, since another process has this address; calls in progress go on to their end."""
+        self.closed = True
+        self.cancel_tasks()
+        self.withdraw_waiting(why)
+        self.close_idle()
+
     def place_waiting(self) -> None:
         while self.waiting:
             call = next(iter(self.waiting))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,6 +13,7 @@
 from platform_world import SETTINGS, frame, request_frame, settings_of_all_effects
 
 from sprucespool.daemon.gateway_server import GatewayServer
+from sprucespool.daemon.invoker_pools import InvokerPools
 from sprucespool.gateway import messages as ms
 from sprucespool.grpc.status import Limits
 from sprucespool.transport.plan import PoolLimits
@@ -698,11 +699,14 @@
 def test_a_drain_in_the_roster_reaches_the_pools_of_the_server():
     withdrawn = []
     server = GatewayServer.__new__(GatewayServer)
-    server.pools = {
-        name: SimpleNamespace(withdraw_waiting=lambda why, name=name: withdrawn.append(name)) for name in "abc"
-    }
+    server.pools = InvokerPools(
+        lambda host, port, number: SimpleNamespace(withdraw_waiting=lambda why: withdrawn.append(host))
+    )
+    for name in "abc":
+        server.pools.get(f"{name}:1")
     server.batch = SimpleNamespace(add=lambda item: None)
-    server.add_input(ms.Roster("update", 1, [ms.Row("a", status="draining"), ms.Row("b"), ms.Row("x", status="gone")]))
+    rows = [ms.Row("a:1", status="draining"), ms.Row("b:1"), ms.Row("x:1", status="gone")]
+    server.add_input(ms.Roster("update", 1, rows))
     assert withdrawn == ["a"]
-    server.add_input(ms.Roster("replace", 2, [ms.Row("b")]))
+    server.add_input(ms.Roster("replace", 2, [ms.Row("b:1")]))
     assert withdrawn == ["a", "a", "c"]
--- a/tests/test_replaced_processes.py
+++ b/tests/test_replaced_processes.py
@@ -77,7 +77,7 @@
     ended = []
     try:
         stage.call(server.add_input, row(standin.name, "1"))
-        old = stage.call(server.pool, standin.name)
+        old = stage.call(server.pools.get, standin.name)
         stage.call(lambda: old.call("/a.B/C", {}, 500.0, b"", ended.append))
 
         async def replace():
@@ -93,7 +93,7 @@
         waiting = []
         stage.run(replace())
         assert [type(one).__name__ for one in waiting] == ["Unconnected"]
-        assert stage.call(server.pool, standin.name) is not old
+        assert stage.call(server.pools.get, standin.name) is not old
         assert stage.call(lambda: len(old.conns)) == 0
     finally:
         stage.run(daemon.stop(500))
