Log and status: who sends faster than it is served, stalls, memory, refusals by reason

The records of the incident couldn't tell a held loop from a refusing fleet, nor what took the memory. The status line tells the longest stall since the last one, the memory peak, what is held and buffered and how often input was deferred; a client whose input waits for over a second is named once, with its address, as are clients that are cut; refusals made here are counted by reason, one line a second each, so that a flood of them doesn't use up the lines of the log.

--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -24,6 +24,8 @@
 # then discarded for a while, because closing with unread input would lose the error with the connection.
 ERROR_DELAY_MS, LINGER_MS = 400.0, 1_500.0
 HIGH_WATER_BYTES = 64 * 1024
+# A client whose input has waited for longer is reported once.
+REPORTED_BEHIND_MS = 1_000.0
 # Shares of the file descriptors: for client connections, and for those accepted on top in one loop iteration.
 CONNECTIONS_SHARE, BACKLOG_SHARE = 0.55, 0.15
 # Share of the memory for what all connections buffer.
@@ -43,7 +45,17 @@
 class ClientConnection:
     """One client's connection."""
 
-    __slots__ = ("listener", "wire", "link", "idle_since", "write_paused_since", "calls", "_waited")
+    __slots__ = (
+        "listener",
+        "wire",
+        "link",
+        "idle_since",
+        "write_paused_since",
+        "calls",
+        "peer",
+        "_waited",
+        "_reported",
+    )
 
     def __init__(self, listener: ClientListener, waited: float):
         self.listener = listener
@@ -64,10 +76,15 @@
         self.wire.on_buffers_full = self._on_buffers_full
         self.idle_since = self.wire.opened
         self.write_paused_since = 0.0
+        # The client's address, for the log, and whether it was reported to send faster than it is served.
+        self.peer, self._reported = "?", False
         # The handler's state of each open stream.
         self.calls: dict[int, object] = {}
 
     def _on_made(self, wire: Wire):
+        assert wire.transport is not None
+        name = wire.transport.get_extra_info("peername")
+        self.peer = f"{name[0]}:{name[1]}" if isinstance(name, tuple) else "?"
         self.listener.connection_made(self)
 
     def _on_events(self, wire: Wire, events: list[Event]):
@@ -118,6 +135,8 @@
         return self._waited + self.listener.now() - self.wire.opened if self._waited else 0.0
 
     def _on_lost(self, wire: Wire, why: str):
+        if self.calls:
+            self.listener.log.debug("client lost", peer=self.peer, why=why, open_requests=len(self.calls))
         for stream in list(self.calls):
             self._cancel(stream)
         self.listener.connection_lost(self, why)
@@ -159,6 +178,15 @@
         elif not self.calls and not link.unparsed and now - self.idle_since > IDLE_TIMEOUT_MS:
             wire.linger = 0.0
             wire.end("idle")
+        elif wire.behind_ms > REPORTED_BEHIND_MS and not self._reported:
+            self._reported = True
+            self.listener.log.info(
+                "client sends faster than it is served",
+                peer=self.peer,
+                frames=link.frames,
+                open_requests=len(self.calls),
+                behind_ms=round(wire.behind_ms),
+            )
 
 
 class ClientListener:
@@ -237,7 +265,7 @@
         self.open.pop(connection, None)
         if connection.wire.why and why != "idle":
             self.cut += 1
-            self.log.info("client cut", why=why)
+            self.log.info("client cut", why=why, peer=connection.peer)
 
     def connection_closed(self, connection: ClientConnection) -> None:
         self.not_closed.pop(connection, None)
--- a/sprucespool/node/gateway_server.py
+++ b/sprucespool/node/gateway_server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import resource
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -118,6 +119,13 @@
             "owed": len(self.calls),
             "invokers": len(self.roster.places),
             "unheard_ms": round(self.discovery_silence_ms()),
+            "clients": len(self.listener.not_closed),
+            "held_kb": self.held_bytes // 1024,
+            "buffered_kb": self.listener.buffer_budget.used // 1024,
+            "deferrals": self.listener.input_scheduler.deferrals,
+            "recent_ids": len(self.recent_requests),
+            "longest_stall_ms": round(self.batch.pace.take_longest_stall_ms()),
+            "peak_memory_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
         }
 
     def _after_batch(self):
@@ -199,7 +207,7 @@
             return True
         behind_ms = connection.wire.behind_ms
         if behind_ms > MAX_BEHIND_MS:
-            self._answer_without_attempt(connection, request, f"read {behind_ms:.0f} ms behind other input", shed=True)
+            self._answer_without_attempt(connection, request, "read too late, behind other input", shed=True)
             return True
         now, size = self.batch.now(), INFERENCE_OVERHEAD_BYTES + len(request.body)
         # The first open request of a connection is always taken: others must not crowd out one who asks for little.
@@ -243,7 +251,7 @@
     def _answer_without_attempt(self, connection: ClientConnection, request: Request, why: str, shed: bool):
         """Refuse the request (`shed`: a retry does no harm) or fail it."""
         self.turned_away += 1
-        self.log.info("turned away", why=why, id=request.id, held=self.held_bytes)
+        self.reports.add_turned_away(why, request.id)
         if shed:
             connection.link.shed(request.stream, 0.0)
         else:
--- a/sprucespool/transport/pace.py
+++ b/sprucespool/transport/pace.py
@@ -30,6 +30,7 @@
         self._timer = loop.call_at(self._due_at, self._tick)
         self._stall_seconds = 0.0
         self._stall_ended_at = float("-inf")
+        self._longest_stall_seconds = 0.0
         # Iterations left until all input that arrived during a stall has been read, and the handle that counts them.
         self._iterations = 0
         self._count_handle: asyncio.Handle | None = None
@@ -48,6 +49,7 @@
     def _note_stall(self, lateness: float) -> None:
         self._restart_count()
         now = self.loop.time()
+        self._longest_stall_seconds = max(self._longest_stall_seconds, lateness)
         # Shortly after a long stall, input may still have waited through that one: keep it when a shorter one follows.
         if lateness >= self._stall_seconds or now - self._stall_ended_at >= AFTER_STALL_SECONDS:
             self._stall_seconds, self._stall_ended_at = lateness, now
@@ -67,6 +69,11 @@
         """Whether the loop is stalled at this moment: decisions made in this iteration may be outdated."""
         return self._lateness() > STALL_SECONDS
 
+    def take_longest_stall_ms(self) -> float:
+        """The longest stall (ms) since the last call; 0 if there was none."""
+        longest, self._longest_stall_seconds = self._longest_stall_seconds, 0.0
+        return longest * 1000.0
+
     def may_wait_more(self, iterations: int, since: float) -> bool:
         """Whether to wait for one more iteration, after `iterations` of them since `since` (loop time, seconds)."""
         return (
