Invokers' answers are read in small pieces: one at full speed holds no loop

All answers of a read of 256 KB were handled at once, 17,000 of them. Reads of invokers are 8 KB now, more only where a message is known to need it; an answer must not be deferred, since the end of its connection may be behind it.

Also: a peer that sends faster than it is served counts as caught up only after 2 ms without input. A short read doesn't show it, as the peer may have waited for the window (seen: reads of 18,432 and 13,312 bytes in turn under a flood).

--- a/sprucespool/grpc/link.py
+++ b/sprucespool/grpc/link.py
@@ -43,6 +43,7 @@
     more = False
     # Whether complete frames wait for the next call of `receive`; only servers limit what one call handles.
     deferred = False
+    missing_bytes = 0
 
     low_mark_bytes = 16384
 
--- a/sprucespool/links.py
+++ b/sprucespool/links.py
@@ -42,6 +42,10 @@
     def incomplete_since(self) -> float:
         """When (ms) the oldest incomplete message began; infinity if there is none."""
 
+    @property
+    def missing_bytes(self) -> int:
+        """How many more bytes an incomplete message is known to need; 0 if that is not known."""
+
     def receive(self, data: memoryview, now: float) -> list[Any]:
         """Handles received data, and what the last call deferred, and returns its events.
 
--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -15,6 +15,8 @@
 from sprucespool.transport.wire import Wire
 
 HIGH_WATER_BYTES = 0
+# All answers of a read are handled at once, and an invoker may send some that nobody asked for at full speed.
+MAX_READ_BYTES = 8 * 1024
 # An answer that stops half-way for this long will not be completed: the connection is closed.
 INCOMPLETE_ANSWER_TIMEOUT_MS = 400.0
 # When nothing was received for this long after something was sent, new requests use another connection, which shows
@@ -102,7 +104,12 @@
         self.requests: dict[str, InvokerRequest] = {}
         self.silent = False
         self.wire = Wire(
-            self.link, self._on_events, self._on_lost, high_water=HIGH_WATER_BYTES, budget=invoker.buffer_budget
+            self.link,
+            self._on_events,
+            self._on_lost,
+            high_water=HIGH_WATER_BYTES,
+            budget=invoker.buffer_budget,
+            max_read_bytes=MAX_READ_BYTES,
         )
         # Its requests go elsewhere at once: none of their lines may still reach this invoker.
         self.wire.abort_on_invalid_input = True
--- a/sprucespool/relay/feed.py
+++ b/sprucespool/relay/feed.py
@@ -49,6 +49,7 @@
     """
 
     more = deferred = False
+    missing_bytes = 0
 
     def __init__(self, host: str, last: int, max_event_bytes: int):
         self.max_event_bytes = max_event_bytes
--- a/sprucespool/relay/frames.py
+++ b/sprucespool/relay/frames.py
@@ -192,6 +192,10 @@
     def incomplete_since(self) -> float:
         return self.unparsed.incomplete_since
 
+    @property
+    def missing_bytes(self) -> int:
+        return self.unparsed.missing
+
     def receive(self, data: memoryview | bytes, now: float) -> list[Event]:
         """Return the events of complete frames: as many as the cost allows, at least one; others are deferred.
 
--- a/sprucespool/relay/lines.py
+++ b/sprucespool/relay/lines.py
@@ -131,6 +131,10 @@
     def incomplete_since(self) -> float:
         return self.unparsed.incomplete_since
 
+    @property
+    def missing_bytes(self) -> int:
+        return self.unparsed.missing
+
     # Output
 
     @property
--- a/sprucespool/relay/unparsed.py
+++ b/sprucespool/relay/unparsed.py
@@ -36,6 +36,11 @@
         if at or not self.data:
             self.data, self.since = bytearray(read[at:]), now
 
+    @property
+    def missing(self) -> int:
+        """How many more bytes the incomplete message is known to need; 0 if that is not known."""
+        return max(0, self.need - len(self.data)) if self.data else 0
+
     @property
     def incomplete_since(self) -> float:
         """When (ms) the incomplete message began; infinity if there is none."""
--- a/sprucespool/transport/input_scheduler.py
+++ b/sprucespool/transport/input_scheduler.py
@@ -10,6 +10,8 @@
 from collections import OrderedDict
 from typing import Protocol
 
+from sprucespool.transport.errors import report_unexpected
+
 # Time (s) of one iteration for deferred input. An iteration must stay well below a stall of the loop.
 ITERATION_SECONDS = 0.004
 
@@ -20,6 +22,9 @@
     def handle_deferred(self) -> bool:
         """Handles the next part of the input; returns whether more is left."""
 
+    def end(self, why: str) -> None:
+        """Ends the connection."""
+
 
 class InputScheduler:
     """Handles the deferred input of the connections of one event loop."""
@@ -48,12 +53,20 @@
         ends_at = self.loop.time() + ITERATION_SECONDS
         for _ in range(len(self.queue)):
             connection, _ = self.queue.popitem(last=False)
-            if connection.handle_deferred():
+            if self._handle_part(connection):
                 self.queue[connection] = None
             if self.loop.time() >= ends_at:
                 break
         self._schedule()
 
+    def _handle_part(self, connection: DeferringConnection) -> bool:
+        try:
+            return connection.handle_deferred()
+        except Exception as error:  # must not keep the other connections from their parts
+            report_unexpected("deferred input", error)
+            connection.end("unexpected error")
+            return False
+
     def forget(self, connection: DeferringConnection) -> None:
         """The connection has ended: its input is not handled any more."""
         self.queue.pop(connection, None)
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -14,6 +14,8 @@
 from sprucespool.transport.read_buffer import READ_BUFFER_SIZE, read_buffer
 
 HIGH_WATER_BYTES = 256 * 1024
+# Without input for this long, a peer that sent more than could be handled at once has nothing left to send.
+DRAINED_SECONDS = 0.002
 # Limit for control frames that a peer provokes but does not read.
 MAX_UNREAD_CONTROL_BYTES = 1024 * 1024
 
@@ -74,7 +76,10 @@
         self.link, self.on_events, self.on_lost, self.on_made = link, on_events, on_lost, on_made
         self.loop = asyncio.get_running_loop()
         # Shared with the other connections of the loop, so that thousands of idle ones need no buffers of their own.
-        self._read_buffer = read_buffer()[:max_read_bytes]
+        self._shared_buffer = read_buffer()
+        # Input of one read, unless more is known to be missing of one message: what a read brings is handled at once.
+        self.max_read_bytes = max_read_bytes
+        self._read_buffer = self._shared_buffer[:max_read_bytes]
         self._read_count = 0
         self.transport: asyncio.Transport | None = None
         self.paused, self.scheduled, self.lost = False, False, False
@@ -97,6 +102,9 @@
         self.flush_soon()
 
     def get_buffer(self, sizehint: int) -> memoryview:
+        size = max(self.max_read_bytes, self.link.missing_bytes)
+        if size != len(self._read_buffer):
+            self._read_buffer = self._shared_buffer[:size]
         return self._read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -104,19 +112,19 @@
             return
         self._read_count += 1
         self.last_received_at = self.loop.time() * 1000.0
-        if nbytes < len(self._read_buffer):
-            self.behind_since = None
-        elif self.input_scheduler is not None:
-            # The system may hold more, with the end of the connection behind it.
-            if self._end_if_peer_closed():
-                return
-            self.loop.call_soon(self._expect_read, self._read_count)
+        if self.input_scheduler is not None and nbytes == len(self._read_buffer) and self._end_if_peer_closed():
+            # The system may have held more, with the end of the connection behind it.
+            return
         self._handle_input(self._read_buffer[:nbytes])
-        if self.input_scheduler is not None and self.link.deferred and not self.lost:
+        if self.lost or self.input_scheduler is None:
+            return
+        if self.link.deferred:
             if self.behind_since is None:
                 self.behind_since = self.last_received_at
             self._pause_reading()
             self.input_scheduler.defer(self)
+        elif self.behind_since is not None:
+            self._expect_read()
 
     def _handle_input(self, data: memoryview):
         try:
@@ -139,7 +147,7 @@
             return not self.lost
         if not self.transport.is_closing():
             self.transport.resume_reading()
-        self.loop.call_soon(self._expect_read, self._read_count)
+        self._expect_read()
         return False
 
     def _pause_reading(self):
@@ -154,15 +162,14 @@
         self._report_lost("closed by the peer")
         return True
 
-    def _expect_read(self, read_count: int, polled: bool = False):
-        """Notices that nothing more was unread: the socket has been polled, and no read followed."""
-        if self._read_count != read_count or self.link.deferred:
-            return
-        if polled:
+    def _expect_read(self):
+        """More may be unread, in the system or at the peer that waited for the window to open."""
+        self.loop.call_later(DRAINED_SECONDS, self._end_behind, self._read_count)
+
+    def _end_behind(self, read_count: int):
+        """The socket has been polled: without another read, nothing was unread."""
+        if self._read_count == read_count and not self.link.deferred:
             self.behind_since = None
-        else:
-            # This iteration polled the socket; its read, if any, is run after this callback.
-            self.loop.call_soon(self._expect_read, read_count, True)
 
     @property
     def behind_ms(self) -> float:
--- a/tests/test_flooding_clients.py
+++ b/tests/test_flooding_clients.py
@@ -36,6 +36,44 @@
     print(f"{kind}: bytes sent {output.decode().strip()}")
 
 
+class FloodingInvoker(InvokerStandIn):
+    """Sends answers that nobody asked for at full speed, beside those to its runs."""
+
+    async def _serve(self, reader, writer):
+        async def send():
+            try:
+                while True:
+                    writer.write(b"noise HIT - 0\r\n\r\n" * 4000)
+                    await writer.drain()
+            except ConnectionError:
+                pass
+
+        sending = asyncio.create_task(send())
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            sending.cancel()
+
+
+def test_an_invoker_at_full_speed_keeps_no_client_waiting():
+    """Guards against: all answers that a read brought were handled at once."""
+
+    async def scene():
+        invokers = [FloodingInvoker(), *[InvokerStandIn() for _ in range(5)]]
+        async with platform(*invokers, memory_mb=MEMORY_MB, sockets=SOCKETS) as world:
+            commenting = asyncio.create_task(comment(world))
+            usual = UsualClients(world.port, 8, USUAL_WAIT_MS)
+            usual.start()
+            await asyncio.sleep(FLOOD_SECONDS)
+            await usual.stop()
+            commenting.cancel()
+            print(f"flooding invoker: {usual.summary()}")
+            assert not usual.late()
+            assert usual.share_with(SERVED) > 0.5
+
+    asyncio.run(scene())
+
+
 @pytest.mark.parametrize(
     ("kind", "connections"),
     [
@@ -65,5 +103,7 @@
             print(f"{kind} x {connections}: {usual.summary()}; memory {world.highest_mb:.1f} of {MEMORY_MB} MB")
             assert not usual.late()
             assert usual.share_with(SERVED) > 0.5
+            if kind == "checks":
+                assert "client sends faster than it is served" in world.log.read_text()
 
     asyncio.run(scene())
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -42,6 +42,20 @@
     assert log.fields("status") == [{"owed": 1, "counts": '{"taken":4,"turned_away":4}'}]
 
 
+def test_requests_turned_away_here_are_logged_once_a_second_by_reason():
+    log = KeptLog()
+    reports = Reports(log, Counts(), dict, 0.0)
+    for number in range(3):
+        reports.add_turned_away("full", f"r{number}")
+    reports.add_turned_away("late", "r3")
+    reports.write_due(1_100.0)
+    reports.write_due(9_000.0)
+    assert log.entries == [
+        ("turned away", {"why": "full", "requests": 3, "last_request": "r2"}),
+        ("turned away", {"why": "late", "requests": 1, "last_request": "r3"}),
+    ]
+
+
 @pytest.mark.sockets
 def test_silent_discovery_is_logged_once_and_refusals_are_counted():
     async def scene():
--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -27,7 +27,8 @@
 class RecordingLink:
     """Keeps the bytes that it receives."""
 
-    more = False
+    more = deferred = False
+    missing_bytes = 0
 
     def __init__(self):
         self.received = b""
