--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(VENV)/bin/pip -q install --disable-pip-version-check -e '.[dev]'
 	touch $(STAMP)
 
-.PHONY: setup demo test lint proto
+.PHONY: setup demo test soak lint proto
 setup: $(STAMP)
 
 demo: $(STAMP)
@@ -18,6 +18,11 @@
 	$(VENV)/bin/python -m pytest -m "not sockets" -n auto --dist worksteal
 	$(VENV)/bin/python -m pytest -m sockets
 
+# SEEDS: first and last seed and how many are played at a time.
+SEEDS ?= 1 50 4
+soak: $(STAMP)
+	PYTHONPATH=.:tests $(VENV)/bin/python tests/soak.py $(SEEDS)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/ruff format --check .
--- a/tests/flooding_clients.py
+++ b/tests/flooding_clients.py
@@ -1,4 +1,4 @@
-"""A process of clients that send at full speed: `python flooding_clients.py PORT KIND CONNECTIONS SECONDS FIRST_ID`.
+"""A process of clients that send at full speed: `python flooding_clients.py ADDRESS KIND CONNECTIONS SECONDS FIRST_ID`.
 
 Each connection is opened again at once when it ends. What the controller writes is read and discarded.
 """
@@ -83,6 +83,13 @@
         yield (62_914_560).to_bytes(4, "big") + bytes(16_000)
 
 
+def half_requests(frames: Frames) -> Iterator[bytes]:
+    """A request of the largest size that stops half way."""
+    yield request_frame(1, bytes(16_384))[:9_000]
+    while True:
+        yield b""
+
+
 KINDS: dict[str, Callable[[Frames], Iterator[bytes]]] = {
     "checks": checks,
     "new-names-taken-back-at-once": new_names_taken_back_at_once,
@@ -90,17 +97,18 @@
     "new-names-taken-back-later": new_names_taken_back_later,
     "unknown-classes": unknown_classes,
     "too-long-frames": too_long_frames,
+    "half-requests": half_requests,
 }
 
 
 class FloodingClient:
-    def __init__(self, port: int, kind: str, frames: Frames, selector: selectors.BaseSelector):
-        self.port, self.kind, self.frames, self.selector = port, kind, frames, selector
+    def __init__(self, address: tuple[str, int], kind: str, frames: Frames, selector: selectors.BaseSelector):
+        self.address, self.kind, self.frames, self.selector = address, kind, frames, selector
         self.sent_bytes = 0
         self._connect()
 
     def _connect(self):
-        self.sock = socket.create_connection(("127.0.0.1", self.port), 5.0)
+        self.sock = socket.create_connection(self.address, 5.0)
         self.sock.setblocking(False)
         self.writes, self.unsent = KINDS[self.kind](self.frames), b""
         self.paused_until = 0.0
@@ -125,10 +133,10 @@
             self._connect()
 
 
-def flood(port: int, kind: str, connections: int, seconds: float, first_id: int) -> int:
+def flood(address: tuple[str, int], kind: str, connections: int, seconds: float, first_id: int) -> int:
     """Returns the number of bytes sent."""
     frames, selector = Frames(first_id), selectors.DefaultSelector()
-    clients = [FloodingClient(port, kind, frames, selector) for _ in range(connections)]
+    clients = [FloodingClient(address, kind, frames, selector) for _ in range(connections)]
     ends_at = time.monotonic() + seconds
     while time.monotonic() < ends_at:
         for key, events in selector.select(0.05):
@@ -137,8 +145,9 @@
 
 
 if __name__ == "__main__":
-    _, port, kind, connections, seconds, first_id = sys.argv
+    _, listening, kind, connections, seconds, first_id = sys.argv
+    host, _, port = listening.rpartition(":")
     try:
-        print(flood(int(port), kind, int(connections), float(seconds), int(first_id)))
+        print(flood((host, int(port)), kind, int(connections), float(seconds), int(first_id)))
     except OSError as error:
         print(f"flood ended: {error}", file=sys.stderr)
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -56,8 +56,8 @@
     While it drains it refuses runs and answers health checks with SICK, as the platform's invokers do; it stays up.
     """
 
-    def __init__(self, behave: Callable[[str], bytes | None] = hit, full: bool = False):
-        self.behave, self.full = behave, full
+    def __init__(self, behave: Callable[[str], bytes | None] = hit, full: bool = False, port: int = 0):
+        self.behave, self.full, self.port = behave, full, port
         # When the drain began (seconds, monotonic); None while it serves.
         self.draining_since: float | None = None
         self.lines: list[tuple[list[str], float]] = []
@@ -66,7 +66,9 @@
 
     async def start(self) -> InvokerStandIn:
         self.listener = socket.socket()
-        self.listener.bind(("127.0.0.1", 0))
+        # A later process may listen at the address of an earlier one.
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(("127.0.0.1", self.port))
         self.listener.listen(0 if self.full else 100)
         self.port = self.listener.getsockname()[1]
         self.fillers: list[socket.socket] = []
--- a/tests/test_flooding_clients.py
+++ b/tests/test_flooding_clients.py
@@ -28,7 +28,7 @@
 
 async def flood(world: Platform, kind: str, connections: int):
     program = Path(__file__).parent / "flooding_clients.py"
-    arguments = [str(world.port), kind, str(connections), str(FLOOD_SECONDS), str(FIRST_FLOOD_ID)]
+    arguments = [f"127.0.0.1:{world.port}", kind, str(connections), str(FLOOD_SECONDS), str(FIRST_FLOOD_ID)]
     process = await asyncio.create_subprocess_exec(
         sys.executable, str(program), *arguments, stdout=asyncio.subprocess.PIPE
     )
