--- a/sprucespool/node/gateway_server.py
+++ b/sprucespool/node/gateway_server.py
@@ -315,10 +315,14 @@
 
     # Invokers
 
+    def _may_have_left(self, call: _Call) -> bool:
+        """Whether the end of the client's connection may have waited for long behind other input."""
+        return call.connection.wire.behind_ms > MAX_BEHIND_MS
+
     def _forward(self, effect: ms.SendForward):
         call, invoker = self.calls.get(effect.call), self.invoker(effect.invoker)
-        if call is None or invoker is None:
-            # The client or the invoker left in this loop iteration.
+        if call is None or invoker is None or self._may_have_left(call):
+            # The client or the invoker left in this loop iteration, or the client perhaps before.
             return self.batch.add(ms.ForwardEnded(effect.forward, it.Outcome.NOT_SENT.value))
         forward = self.in_flight[effect.forward] = _Forward(call, effect.invoker)
         request = call.request
@@ -334,7 +338,7 @@
                 request.id, request.group, request.model, deadline, request.once, request.body, write_by
             ),
             lambda result: self._forward_ended(effect.forward, forward, result),
-            lambda: effect.call in self.calls,
+            lambda: effect.call in self.calls and not self._may_have_left(call),
         )
 
     def _forward_ended(self, number: int, forward: _Forward, result: Answer | it.Outcome):
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -9,6 +9,7 @@
 from platform_scene import InvokerStandIn, RawClient, Scene, hit, run_scene
 from platform_world import frame, request_frame, settings_of_all_effects
 
+from sprucespool.node.gateway_server import MAX_BEHIND_MS
 from sprucespool.node.recent_requests import ENTRY_BYTES, RecentRequests
 
 pytestmark = pytest.mark.sockets
@@ -125,6 +126,30 @@
     run_scene(scene)
 
 
+def test_a_request_that_waits_is_not_sent_while_its_client_may_have_left_behind_other_input():
+    """Guards against: the end of a connection behind much input is found long after a waiting request was sent on."""
+
+    async def scene():
+        async with Scene(InvokerStandIn(), settings=settings_of_all_effects()) as world:
+            server = world.node.server
+            receive = server.request_received
+
+            def receive_with_much_behind(connection, request) -> bool:
+                taken = receive(connection, request)
+                connection.wire._expect_read = lambda: None
+                connection.wire.behind_since = server.batch.now() - 2 * MAX_BEHIND_MS
+                return taken
+
+            server.request_received = receive_with_much_behind
+            client = await world.client()
+            client.send(request_frame(1, id=identifier(1)))
+            ((_, stream, code),) = await client.answers(1)
+            assert stream == 1 and code in (FAILED, REFUSED)
+            assert not attempts_at(world)
+
+    run_scene(scene)
+
+
 def test_recent_ids_are_kept_within_their_limit_the_latest_longest():
     """Guards against: ids that clients choose fill the memory."""
     recent = RecentRequests(3 * ENTRY_BYTES)
