A connection whose peer has closed it counts as left, not as cut

The log and the count of cut clients took a client that came again for a bad one: its first connection was ended like that of a client that breaks the protocol.

--- a/sprucespool/node/gateway_server.py
+++ b/sprucespool/node/gateway_server.py
@@ -243,9 +243,9 @@
         other = self.calls_by_request_id.get(request.id)
         if other is None:
             return False
-        if other.connection is not connection and other.connection.wire.peer_has_closed:
-            # The client came again before the end of its first connection was read.
-            other.connection.wire.end("closed by the peer", at_once=True)
+        if other.connection is not connection:
+            # The client may have come again before the end of its first connection was read.
+            other.connection.wire.end_if_peer_closed()
         return request.id in self.calls_by_request_id
 
     def _answer_without_attempt(self, connection: ClientConnection, request: Request, why: str, shed: bool):
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -119,7 +119,7 @@
         self._read_count += 1
         self.last_received_at = self.loop.time() * 1000.0
         self._note_read(nbytes)
-        if self.input_scheduler is not None and nbytes == len(self._read_buffer) and self._end_if_peer_closed():
+        if self.input_scheduler is not None and nbytes == len(self._read_buffer) and self.end_if_peer_closed():
             # The system may have held more, with the end of the connection behind it.
             return
         if self.input_scheduler is not None and self.behind_since is not None:
@@ -161,7 +161,7 @@
         """Handles the next part of the input that the link deferred; returns whether more is left."""
         if self.lost or self.transport is None:
             return False
-        if self._end_if_peer_closed():
+        if self.end_if_peer_closed():
             return False
         data, self._unhandled = self._unhandled, b""
         self._handle_input(data)
@@ -172,9 +172,14 @@
         self._expect_read()
         return False
 
-    def _end_if_peer_closed(self) -> bool:
-        """Discards what a peer that has closed its end still had to say: nobody waits for an answer."""
-        if self.transport is None or not self.peer_has_closed:
+    def end_if_peer_closed(self) -> bool:
+        """End the connection if the peer has closed its end, whether or not that was read yet; returns whether it did.
+
+        What the peer still had to say is discarded: nobody waits for an answer.
+        """
+        if self.lost:
+            return True
+        if self.transport is None or not has_peer_closed(self.transport.get_extra_info("socket")):
             return False
         self.transport.abort()
         self._report_lost("closed by the peer")
@@ -194,11 +199,6 @@
         """How long (ms) input that is handled now may have waited behind other input of this connection."""
         return 0.0 if self.behind_since is None else self.loop.time() * 1000.0 - self.behind_since
 
-    @property
-    def peer_has_closed(self) -> bool:
-        """Whether the peer has closed its end, though that has perhaps not been read yet."""
-        return self.lost or self.transport is not None and has_peer_closed(self.transport.get_extra_info("socket"))
-
     @property
     def buffered_bytes(self) -> int:
         """Bytes of incomplete input and of output that the system has not accepted yet."""
