Tests of clocks announce each invoker at an address of its own

Traced: they announced a second invoker at the address of a listed one, which counts as the end of the first since, so the only invoker left had just started (refused, code 14), or the first row of the news was the end of the old one. Each name has an address of its own now; what is asserted is unchanged.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -219,22 +219,24 @@
 def test_a_stepped_wall_clock_changes_no_age_and_no_answer(step):
     async def scene():
         wall = SteppedWall()
+        late = await InvokerStandIn().start()
         async with Scene(InvokerStandIn(), clock=AnchoredClock(wall)) as world:
             client = await world.warmed()
             wall.step = step
             born = int(time.time() * 1000.0) - 1_000
-            world.channel.send(event(2, ("s-7", world.invokers[0].port, "up"), born=born))
+            world.channel.send(event(2, ("s-7", late.port, "up"), born=born))
             await until(lambda: "s-7" in world.node.server.gateway.boots)
             _, started = world.node.server.gateway.boots["s-7"]
             assert 900 <= world.node.server.batch.now() - started <= 3_000
             client.send(request_frame(2))
             assert await client.answers(1) == [(17, 2, 0)]
+        late.close()
 
     run_scene(scene)
 
 
-def event_of(number, born, whole=False, name="s-1"):
-    data = event(number, (name, 9, "up"), whole=whole, born=born)
+def event_of(number, born, whole=False, name="s-1", port=9):
+    data = event(number, (name, port, "up"), whole=whole, born=born)
     return ChannelEvent(number, data.split(b"data: ")[1].strip())
 
 
@@ -246,7 +248,7 @@
     [_, news] = roster.restore(1, [hosts], own)
     assert 0 <= news.rows[0].age <= 4_000
     # An invoker reported later as just started: it was in no list before.
-    [news] = roster.apply(event_of(2, int(true + 9_000), name="s-2"), own + 10_000)
+    [news] = roster.apply(event_of(2, int(true + 9_000), name="s-2", port=10), own + 10_000)
     assert 0 <= news.rows[0].age <= 1_000 + (4_000 if ahead else 0)
 
 
