--- a/sprucespool/daemon/invoker_pools.py
+++ b/sprucespool/daemon/invoker_pools.py
@@ -22,9 +22,6 @@
         self._boots: dict[str, str] = {}
         self._created = 0
 
-    def __contains__(self, name: str) -> bool:
-        return name in self.pools
-
     def get(self, name: str) -> Pool:
         """The pool to the invoker's present process, created at the first use."""
         if name not in self.pools:
--- a/sprucespool/interface.py
+++ b/sprucespool/interface.py
@@ -48,6 +48,10 @@
     MISS = "miss"
 
 
+# Outcomes that prove that an attempt never ran.
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNCONNECTED, Outcome.NOT_SENT, Outcome.MISS})
+
+
 class Found(Enum):
     """The state of the model at the invoker when a returned forward arrived there."""
 
--- a/sprucespool/node/gateway_server.py
+++ b/sprucespool/node/gateway_server.py
@@ -45,8 +45,6 @@
 # A request that waited for longer behind other input of its connection is refused: no attempt may begin later than this
 # after its client has left, and the end of the connection is behind that input too.
 MAX_BEHIND_MS = 100.0
-# Outcomes that prove that an attempt never ran.
-NEVER_RAN = frozenset({it.Outcome.FULL, it.Outcome.UNCONNECTED, it.Outcome.NOT_SENT, it.Outcome.MISS})
 
 
 @dataclass(slots=True, eq=False)
@@ -346,7 +344,7 @@
             return
         self.ended_forwards.append(number)
         outcome = result.outcome if isinstance(result, Answer) else result
-        if outcome in NEVER_RAN:
+        if outcome in it.NEVER_RAN:
             self._attempt_never_ran(forward.call)
         if isinstance(result, Answer):
             if result.outcome is it.Outcome.FULL:
--- a/sprucespool/node/invokers.py
+++ b/sprucespool/node/invokers.py
@@ -45,8 +45,7 @@
     """A request to the invoker.
 
     `on_end` is called once with the answer, or with the outcome if there is no answer; it is not called after
-    `cancel`. `is_wanted` is called before anything is written: when it returns False, the request is about to be
-    cancelled.
+    `cancel`. `is_wanted` is called before anything is written: when it returns False, the request ends as not sent.
     """
 
     __slots__ = ("invoker", "tag", "write", "on_end", "is_wanted", "conn", "created_at", "ended")
@@ -258,7 +257,10 @@
         while self.waiting:
             # Removed from the queue before it is written: an event handled during the write may place the next one.
             request, _ = self.waiting.popitem(last=False)
-            if request.ended or not request.is_wanted():
+            if request.ended:
+                continue
+            if not request.is_wanted():
+                self.loop.call_soon(request.end, it.Outcome.NOT_SENT)
                 continue
             slot, opens, why = self._choose_slot(request)
             if slot is not None:
--- a/sprucespool/policy/controller.py
+++ b/sprucespool/policy/controller.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from sprucespool.interface import (
+    NEVER_RAN,
     Arrived,
     Beliefs,
     BeliefsAsked,
@@ -73,7 +74,6 @@
 from sprucespool.policy.workers_in_service import WorkersInService
 
 UPDATE_TIMER, DUE_TIMER, UPDATE_INTERVAL_MS = 1, 2, 200.0
-NEVER_RAN = (Outcome.FULL, Outcome.UNCONNECTED, Outcome.NOT_SENT, Outcome.MISS)
 # SLOW_ANSWER_RATIO: an answer this many times slower than usual does not clear a suspect.
 # MAX_TRIAL_INTERVAL_MS: trials of a suspect become less frequent up to this interval, so a long silence costs few.
 SLOW_ANSWER_RATIO, MAX_TRIAL_INTERVAL_MS = 2.5, 8000.0
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -158,7 +158,7 @@
         self.flush_soon()
 
     def handle_deferred(self) -> bool:
-        """Handles the next part of the input that the link deferred; returns whether more is left."""
+        """Handles the next part of the input that waits; returns whether more is left."""
         if self.lost or self.transport is None:
             return False
         if self.end_if_peer_closed():
--- a/tests/flooding_clients.py
+++ b/tests/flooding_clients.py
@@ -14,13 +14,13 @@
 
 from platform_world import frame, request_frame
 
-REQUEST, CANCEL, READINESS_QUERY = 16, 18, 32
+CANCEL, READINESS_QUERY = 18, 32
 FRAMES_PER_WRITE = 2048
 # The limit on open requests of a connection is 32.
 OPEN_REQUESTS = 16
 # How long requests stay open that are taken back once their attempts have begun.
 OPEN_SECONDS = 0.02
-PLACEHOLDER_ID, PLACEHOLDER_KEY, PLACEHOLDER_CLASS = "0" * 15 + "1", "0" * 15 + "2", "call"
+PLACEHOLDER_ID, PLACEHOLDER_KEY = "0" * 15 + "1", "0" * 15 + "2"
 
 
 class Frames:
--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -14,9 +14,9 @@
     ChannelStandIn,
     InvokerStandIn,
     controller_process,
-    cut_frames,
     entry,
     listening_port,
+    read_frames,
     until,
 )
 from platform_world import configuration, request_frame
@@ -62,11 +62,9 @@
         while True:
             self.asked += 1
             writer.write(request_frame(self.asked, body, id=f"{self.asked:016x}"))
-            while not data or not (found := cut_frames(data))[0]:
-                chunk = await reader.read(65_536)
-                if not chunk:
-                    return
-                data += chunk
+            found = await read_frames(reader, data)
+            if found is None:
+                return
             frames, data = found
             self.codes += [code for _, _, code in frames]
             await asyncio.sleep(0.02)
--- a/tests/platform_scene.py
+++ b/tests/platform_scene.py
@@ -226,6 +226,18 @@
     return frames, data
 
 
+async def read_frames(
+    reader: asyncio.StreamReader, received: bytes = b""
+) -> tuple[list[tuple[int, int, int]], bytes] | None:
+    """Reads until a frame is whole; returns as `cut_frames` does, or None when the connection has ended."""
+    while not (found := cut_frames(received))[0]:
+        chunk = await reader.read(65_536)
+        if not chunk:
+            return None
+        received += chunk
+    return found
+
+
 class RawClient:
     """A client on a blocking socket: the system has what it sends before the controller runs again."""
 
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -6,9 +6,10 @@
 
 import pytest
 from platform_process import Platform, platform
-from platform_scene import InvokerStandIn, RawClient, Scene, hit, run_scene
+from platform_scene import InvokerStandIn, RawClient, Scene, hit, run_scene, until
 from platform_world import frame, request_frame, settings_of_all_effects
 
+from sprucespool.interface import Outcome
 from sprucespool.node.gateway_server import MAX_BEHIND_MS
 from sprucespool.node.recent_requests import ENTRY_BYTES, RecentRequests
 
@@ -150,6 +151,21 @@
     run_scene(scene)
 
 
+def test_a_request_that_is_not_wanted_any_more_ends_as_not_sent():
+    """Guards against: such a request was dropped from the queue without an end, and waited for its time-out."""
+
+    async def scene():
+        async with Scene(InvokerStandIn()) as world:
+            await world.warmed()
+            (invoker,) = world.node.server.invokers.values()
+            ends = []
+            invoker.request("tag", lambda link: None, ends.append, lambda: False)
+            await until(lambda: ends)
+            assert ends == [Outcome.NOT_SENT]
+
+    run_scene(scene)
+
+
 def test_recent_ids_are_kept_within_their_limit_the_latest_longest():
     """Guards against: ids that clients choose fill the memory."""
     recent = RecentRequests(3 * ENTRY_BYTES)
--- a/tests/usual_clients.py
+++ b/tests/usual_clients.py
@@ -7,7 +7,7 @@
 import time
 from dataclasses import dataclass
 
-from platform_scene import cut_frames
+from platform_scene import read_frames
 from platform_world import request_frame
 
 ANSWER = 17
@@ -52,11 +52,9 @@
             self.asked.append(one)
             fields = {"key": model, "wait": f"{self.wait_ms:g}", **self.fields}
             writer.write(request_frame(stream, b"usual", id=one.id, **fields))
-            while not data or not (found := cut_frames(data))[0]:
-                chunk = await reader.read(65_536)
-                if not chunk:
-                    return
-                data += chunk
+            found = await read_frames(reader, data)
+            if found is None:
+                return
             frames, data = found
             one.answered_ms = (time.monotonic() - one.sent_at) * 1000.0
             kind, answered_stream, one.code = frames[0]
