Idle connections make room for newcomers, and those with an open request never do

Cause: ClientListener._evict ended one connection a newcomer, those without a frame before idle ones, so the newcomer itself; one that it had just ended was chosen once more for the next newcomer; with all busy the oldest open request was ended. Evidence (trial on a copy with each choice in the log): 350 of 887 chosen connections were the newcomer, 299 others without a frame, 238 idle, beside some 120 idle ones that stood; 354 further choices hit one that had ended.

Change: transport/connection_budget.py, a plain state machine, frees down to a target by the state of each connection; Wire tells each change; a connection with input or output waiting is passed over.

--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -11,8 +11,9 @@
 from sprucespool.relay.frames import Cancellation, Event, FrameLink, ReadinessQuery, Request, RequestReader
 from sprucespool.transport.acceptor import Acceptor
 from sprucespool.transport.buffers import SMALL_BUFFER_BYTES, BufferBudget
-from sprucespool.transport.input_scheduler import InputScheduler
+from sprucespool.transport.connection_budget import ConnectionBudget, ConnectionState
 from sprucespool.transport.errors import report_unexpected
+from sprucespool.transport.input_scheduler import InputScheduler
 from sprucespool.transport.wire import Wire
 
 CHECK_INTERVAL_SECONDS = 0.25
@@ -26,8 +27,12 @@
 HIGH_WATER_BYTES = 64 * 1024
 # A client whose input has waited for longer is reported once.
 REPORTED_BEHIND_MS = 1_000.0
-# Shares of the file descriptors: for client connections, and for those accepted on top in one loop iteration.
-CONNECTIONS_SHARE, BACKLOG_SHARE = 0.55, 0.15
+# Shares of the file descriptors: the most that client connections hold, and how many stay while others still come.
+# Clients of the platform hold a third at most.
+CONNECTIONS_SHARE, TARGET_SHARE = 0.55, 0.45
+MIN_CONNECTIONS = 16
+# Share of the descriptors for connections that are accepted in one loop iteration.
+BACKLOG_SHARE = 0.15
 # Share of the memory for what all connections buffer.
 BUFFERS_SHARE = 0.10
 
@@ -52,6 +57,7 @@
         "idle_since",
         "write_paused_since",
         "calls",
+        "was_answered",
         "peer",
         "_waited",
         "_reported",
@@ -73,7 +79,9 @@
             max_read_bytes=SMALL_BUFFER_BYTES,
         )
         self.wire.linger, self.wire.on_closed = LINGER_MS, self._on_closed
-        self.wire.on_buffers_full = self._on_buffers_full
+        self.wire.on_buffers_full, self.wire.on_changed = self._on_buffers_full, self._on_changed
+        # Whether a request or a readiness query was answered.
+        self.was_answered = False
         self.idle_since = self.wire.opened
         self.write_paused_since = 0.0
         # The client's address, for the log, and whether it was reported to send faster than it is served.
@@ -106,6 +114,7 @@
             handler.request_cancelled(self, event.stream)
         elif isinstance(event, ReadinessQuery):
             self.link.readiness(event.stream, handler.ready)
+            self.was_answered = True
         elif self.link.is_open(event.stream):
             return handler.request_received(self, event)
         # Else a later frame of the same read cancelled the request: no answer is owed, and none can be sent.
@@ -147,12 +156,36 @@
         else:
             self.close_with_error("too many bytes of incomplete frames", self.listener.error_delay)
 
+    def _on_changed(self, wire: Wire):
+        self.listener.connections.update(self, self._state(), self.listener.now())
+
+    def _state(self) -> ConnectionState:
+        if self.wire.lost:
+            return ConnectionState.LINGERING
+        if self.calls or self.wire.paused or self.wire.input_waits:
+            return ConnectionState.BUSY
+        if self.link.unparsed or not self.link.frames:
+            return ConnectionState.PENDING
+        return ConnectionState.IDLE if self.was_answered else ConnectionState.UNANSWERED
+
+    def is_quiet(self) -> bool:
+        """Whether nothing that the system has received waits to be read, and nothing waits to be written."""
+        return self.wire.quiet
+
+    def end_to_make_room(self) -> None:
+        """Close the connection at once; one that lingers discards its final message."""
+        if self.wire.lost:
+            return self.wire.abort()
+        self.wire.linger = 0.0
+        self.close_with_error("no room for so many connections")
+
     def _on_closed(self, wire: Wire):
         self.listener.connection_closed(self)
 
     def answered(self, stream: int) -> None:
         """Ends the stream; its answer is flushed in this loop iteration."""
         self.calls.pop(stream, None)
+        self.was_answered = True
         self.idle_since = self.listener.now()
         self.wire.flush_soon()
 
@@ -203,16 +236,21 @@
     ):
         self.request_reader, self.handler, self.log = request_reader, handler, log
         self.loop = asyncio.get_running_loop()
-        # Both in order of arrival: the connections that are read, and those that hold a file descriptor.
+        # The connections that are read, in order of arrival.
         self.open: dict[ClientConnection, None] = {}
-        self.not_closed: dict[ClientConnection, None] = {}
-        self.max_connections = max(16, int(CONNECTIONS_SHARE * sockets))
-        self.backlog = max(16, int(BACKLOG_SHARE * sockets))
+        # Those that hold a file descriptor.
+        self.connections = ConnectionBudget(
+            max(MIN_CONNECTIONS, int(CONNECTIONS_SHARE * sockets)),
+            max(MIN_CONNECTIONS, int(TARGET_SHARE * sockets)),
+        )
         self.buffer_budget = BufferBudget(int(BUFFERS_SHARE * memory_mb * 2**20))
         self.input_scheduler = InputScheduler()
-        self.accepted = self.evicted = self.cut = 0
+        self.accepted = self.cut = 0
         self.acceptor = Acceptor(
-            lambda waited: ClientConnection(self, waited).wire, self.backlog, self._on_accept_error, possible_wait_ms
+            lambda waited: ClientConnection(self, waited).wire,
+            max(MIN_CONNECTIONS, int(BACKLOG_SHARE * sockets)),
+            self._on_accept_error,
+            possible_wait_ms,
         )
         self.timer: asyncio.TimerHandle | None = None
 
@@ -222,7 +260,7 @@
     @property
     def error_delay(self) -> float:
         """The delay (ms) of an error to a bad client; 0 when file descriptors run short."""
-        return ERROR_DELAY_MS if 2 * len(self.not_closed) < self.max_connections else 0.0
+        return ERROR_DELAY_MS if 2 * len(self.connections) < self.connections.max_connections else 0.0
 
     async def start(self, host: str, port: int) -> int:
         port = await self.acceptor.start(host, port)
@@ -230,36 +268,18 @@
         return port
 
     def _on_accept_error(self, error: OSError):
-        """There is no descriptor or memory for a new connection: an unused or lingering one is evicted."""
+        """There is no descriptor or memory for a new connection; the first helps where another closes."""
         self.log.info("connection not accepted yet", why=f"{type(error).__name__}: {error}")
-        unused = next((one for one in self.open if not one.calls and not one.link.unparsed), None)
-        if error.errno == errno.EMFILE and (unused is not None or len(self.not_closed) > len(self.open)):
-            self._evict()
+        if error.errno == errno.EMFILE:
+            self.connections.evict_one(self.now())
 
     def connection_made(self, connection: ClientConnection) -> None:
         self.accepted += 1
-        self.open[connection] = self.not_closed[connection] = None
+        self.open[connection] = None
+        now = self.now()
+        self.connections.add(connection, now)
         connection.wire.delay = self.error_delay
-        if len(self.not_closed) > self.max_connections:
-            self._evict()
-
-    def _evict(self):
-        """Closes one connection to make room for a new one.
-
-        Chosen in this order, the oldest first: lingering connections, those without a complete frame, idle ones, and
-        last those with an open request.
-        """
-        self.evicted += 1
-        for connection in self.not_closed:
-            if connection.wire.lost:
-                if connection.wire.transport is not None:
-                    connection.wire.transport.abort()
-                del self.not_closed[connection]
-                return
-        victim = next((one for one in self.open if not one.link.frames), None)
-        victim = victim or next((one for one in self.open if not one.calls), None) or next(iter(self.open))
-        victim.wire.linger = 0.0
-        victim.close_with_error("no room for so many connections")
+        self.connections.make_room(now)
 
     def connection_lost(self, connection: ClientConnection, why: str) -> None:
         self.open.pop(connection, None)
@@ -268,7 +288,7 @@
             self.log.info("client cut", why=why, peer=connection.peer)
 
     def connection_closed(self, connection: ClientConnection) -> None:
-        self.not_closed.pop(connection, None)
+        self.connections.remove(connection)
 
     def _check(self):
         self.timer = self.loop.call_later(CHECK_INTERVAL_SECONDS, self._check)
--- a/sprucespool/node/serve.py
+++ b/sprucespool/node/serve.py
@@ -195,7 +195,7 @@
         turned_away=node.server.turned_away,
         accepted=node.server.listener.accepted,
         cut=node.server.listener.cut,
-        evicted=node.server.listener.evicted,
+        evicted=node.server.listener.connections.evicted,
         channel=node.channel and node.channel.connections,
         counts=json.dumps(node.server.gateway.counts.as_dict()),
     )
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -10,7 +10,7 @@
 from sprucespool.links import Link, LinkError
 from sprucespool.transport.buffers import BufferBudget
 from sprucespool.transport.input_scheduler import InputScheduler
-from sprucespool.transport.peer_state import has_peer_closed
+from sprucespool.transport.peer_state import has_peer_closed, has_unread_input
 from sprucespool.transport.read_buffer import READ_BUFFER_SIZE, read_buffer
 
 HIGH_WATER_BYTES = 256 * 1024
@@ -71,6 +71,8 @@
         self.on_closed: Callable[[Wire], None] = lambda wire: None
         # Called when the system accepts no more bytes for now, and when it does again.
         self.on_paused: Callable[[Wire], None] = lambda wire: None
+        # Called when input was read, output written or the connection has ended.
+        self.on_changed: Callable[[Wire], None] = _ignore_wire
         # Called when the connections of this kind buffer too much and this one is the next to go.
         self.on_buffers_full: Callable[[Wire], None] = lambda wire: wire.end("buffers are full", at_once=True)
         # Bytes written to the transport, and the part of them written while writing was paused.
@@ -210,6 +212,13 @@
         """Whether input was read that is not handled yet."""
         return bool(self._unhandled) or self.link.deferred
 
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing waits to be written, to be handled or, in the system, to be read."""
+        if self.transport is None or self.unwritten or self.input_waits:
+            return False
+        return not has_unread_input(self.transport.get_extra_info("socket"))
+
     @property
     def buffered_since(self) -> float:
         """When (ms) the peer last left its message incomplete or stopped reading; infinity if it did neither."""
@@ -223,9 +232,15 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def abort(self) -> None:
+        """Close the connection at once; output that is not accepted by the system yet is discarded."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def _count_buffers(self):
         if self.budget is not None:
             self.budget.update(self)
+        self.on_changed(self)
 
     def flush_soon(self) -> None:
         if not self.scheduled and not self.lost:
@@ -297,7 +312,7 @@
         """Let go of the owner and the transport, which refer to this: none must wait for the garbage collector."""
         self.transport = self._close_timer = self.on_made = None
         self.on_events, self.on_lost = _ignore_events, _ignore_lost
-        self.on_closed = self.on_paused = self.on_buffers_full = _ignore_wire
+        self.on_closed = self.on_paused = self.on_buffers_full = self.on_changed = _ignore_wire
 
     def _report_lost(self, why: str):
         if not self.lost:
--- a/tests/platform_process.py
+++ b/tests/platform_process.py
@@ -69,13 +69,13 @@
             self.codes += [code for _, _, code in frames]
             await asyncio.sleep(0.02)
 
-    async def check(self):
+    async def check(self, stopped: bool = False):
         """Each request that the usual client asked is answered, also the last one.
 
         A limit on memory would fail its requests or end its connection; the decisions may refuse them, as where bad
         clients take all of the processor or of the invokers.
         """
-        assert self.process.poll() is None
+        assert (self.process.poll() is not None) is stopped
         assert self.highest_mb < MAX_SHARE * self.memory_mb
         asked = self.asked
         await until(lambda: len(self.codes) >= asked)
@@ -83,8 +83,18 @@
 
 
 @asynccontextmanager
-async def platform(*invokers: InvokerStandIn, memory_mb: int = MEMORY_MB, sockets: int = SOCKETS, **change):
-    """A controller process; on exit its memory and the answers to the usual client are checked."""
+async def platform(
+    *invokers: InvokerStandIn,
+    memory_mb: int = MEMORY_MB,
+    sockets: int = SOCKETS,
+    usual: bool = True,
+    stopped: bool = False,
+    **change,
+):
+    """A controller process; on exit its memory and the answers to the usual client are checked.
+
+    Without the `usual` client a test asks with clients of its own; `stopped`: the test ends the process itself.
+    """
     channel = await ChannelStandIn().start()
     for invoker in invokers:
         await invoker.start()
@@ -105,11 +115,13 @@
             await until(lambda: "listening" in log.read_text() and channel.writers, 20.0)
             await asyncio.sleep(0.2)
             world = Platform(process, log, list(invokers), channel, memory_mb)
-            tasks = [asyncio.create_task(world.watch_memory()), asyncio.create_task(world.ask_as_usual_client())]
-            await until(lambda: world.codes, 5.0)
+            tasks = [asyncio.create_task(world.watch_memory())]
+            if usual:
+                tasks.append(asyncio.create_task(world.ask_as_usual_client()))
+                await until(lambda: world.codes, 5.0)
             yield world
             print(f"highest memory: {world.highest_mb:.1f} MB of {memory_mb}, codes {Counter(world.codes)}")
-            await world.check()
+            await world.check(stopped)
         finally:
             for task in tasks:
                 task.cancel()
--- /dev/null
+++ b/tests/test_crowds.py
@@ -0,0 +1,71 @@
+"""Crowds of clients do not cost usual clients their answers, nor the controller its descriptors."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import crowds
+import pytest
+from crowds import Crowd, NewClients, SlowInvoker, StayingClients
+from platform_process import Platform, platform
+
+pytestmark = pytest.mark.sockets
+
+SOCKETS = 256
+STAYING = 8
+# Served, or refused by the decisions; what crossed the end of a connection was sent once more.
+ENDS = {"code 0", "code 14", "crossed", "lost"}
+
+
+async def watch_descriptors(world: Platform, highest: list[int]) -> None:
+    while True:
+        highest[0] = max(highest[0], crowds.descriptors(world.process.pid))
+        await asyncio.sleep(0.01)
+
+
+def play(come: Callable[[Crowd], Awaitable[None]], act: Callable, new_clients: int = 70) -> None:
+    """A crowd comes while usual clients come, ten a second and more: each gets its answers."""
+
+    async def scene():
+        async with platform(
+            *[SlowInvoker(0.1) for _ in range(6)], memory_mb=128, sockets=SOCKETS, usual=False
+        ) as world:
+            crowd, usual, highest = Crowd(world.port, act), NewClients(world.port), [0]
+            staying = StayingClients(world.port)
+            staying.start(STAYING)
+            await asyncio.sleep(0.3)
+            tasks = [asyncio.create_task(come(crowd)), asyncio.create_task(watch_descriptors(world, highest))]
+            try:
+                await usual.come(new_clients, 0.06)
+                await staying.stop()
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await crowd.end()
+            print(
+                f"crowd of {crowd.connected}, new {dict(usual.ends)}, staying {dict(staying.ends)} with "
+                f"{staying.reconnections} reconnections, descriptors {highest[0]} of {SOCKETS}"
+            )
+            for clients in usual, staying:
+                assert clients.ends["lost"] == 0, clients.lost[:10]
+                assert set(clients.ends) <= ENDS
+            assert "Traceback" not in world.log.read_text()
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    "act", [crowds.take_back, crowds.ask_and_stay, crowds.say_nothing, crowds.send_half], ids=lambda act: act.__name__
+)
+def test_clients_that_come_in_bursts_and_stay_cost_others_no_answer(act):
+    """Guards against: newcomers were ended for idle connections, and one more stayed for each that came in a turn."""
+    play(Crowd.come_in_bursts, act)
+
+
+@pytest.mark.parametrize(
+    "act",
+    [crowds.take_back, crowds.say_nothing, crowds.send_half, crowds.send_invalid, crowds.ask_and_break_off],
+    ids=lambda act: act.__name__,
+)
+def test_clients_that_come_again_at_once_cost_others_no_answer(act):
+    """Guards against: a crowd that came again filled the descriptors, and usual clients were ended for it."""
+    play(Crowd.come_again, act)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -291,7 +291,8 @@
             assert (await usual.ask(request_frame(1)))[2] == 0
             silent = [await world.client() for _ in range(60)]
             await asyncio.sleep(0.05)
-            assert len(world.node.server.listener.not_closed) <= world.node.server.listener.max_connections == 35
+            connections = world.node.server.listener.connections
+            assert len(connections) <= connections.max_connections == 35
             assert (await usual.ask(request_frame(2, id="c" * 16)))[2] == 0
             for client in silent:
                 client.writer.close()
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -74,7 +74,7 @@
                     client.send(frame(99, 0))
                     assert await client.answers(1) == [(17, 0, 2)]
                     client.close()
-                await until(lambda: not world.node.server.listener.not_closed)
+                await until(lambda: not world.node.server.listener.connections)
                 await asyncio.sleep(0.05)
                 assert alive(ClientConnection, Wire, FrameLink, UnparsedBytes) == before
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -69,7 +69,7 @@
                 client = await world.client()
                 client.send(frame(99, 0))
                 await until(lambda: not listener.open and faults.injected)
-                await until(lambda: not listener.not_closed, 0.5)
+                await until(lambda: not listener.connections, 0.5)
 
     run_scene(scene)
 
