Accepting waits while there is no room for connections, and each one's wait is bounded

Callers saw: all descriptors in use in crowds, though clients were to hold 55% of them; connections that waited were ended long after their requests were written.

Cause: a loop iteration accepted up to 15% of the descriptors, whatever stood, and neither those on their way to their protocol nor those about to close were in the count.

Change: Acceptor asks for room before each accept, takes 16 an iteration, and leaves others in the system's queue, which takes no descriptor and is 1,024 long on both servers. How long a connection waited comes from the number of those that waited (TCP_INFO), no longer from the start of a pause, which would have cut every deadline in a lasting shortage; where the system does not tell, a full queue is assumed.

--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -31,8 +31,6 @@
 # Clients of the platform hold a third at most.
 CONNECTIONS_SHARE, TARGET_SHARE = 0.55, 0.45
 MIN_CONNECTIONS = 16
-# Share of the descriptors for connections that are accepted in one loop iteration.
-BACKLOG_SHARE = 0.15
 # Share of the memory for what all connections buffer.
 BUFFERS_SHARE = 0.10
 
@@ -248,9 +246,9 @@
         self.accepted = self.cut = 0
         self.acceptor = Acceptor(
             lambda waited: ClientConnection(self, waited).wire,
-            max(MIN_CONNECTIONS, int(BACKLOG_SHARE * sockets)),
             self._on_accept_error,
             possible_wait_ms,
+            lambda: self.connections.room(self.now()),
         )
         self.timer: asyncio.TimerHandle | None = None
 
--- a/sprucespool/transport/listener.py
+++ b/sprucespool/transport/listener.py
@@ -314,9 +314,6 @@
         wire.flush_soon()
 
 
-BACKLOG = 1024
-
-
 class Listener:
     """A gRPC server on one address. `methods` maps a path such as /package.Service/Method to its method."""
 
@@ -332,7 +329,7 @@
         self.shutting_down = self.closed = False
         # Paths still served during shutdown, when calls of all other paths are refused.
         self.kept_paths: frozenset[str] = frozenset()
-        self.acceptor = Acceptor(lambda waited: _Peer(self, waited).wire, BACKLOG, lambda error: None)
+        self.acceptor = Acceptor(lambda waited: _Peer(self, waited).wire, lambda error: None)
         self._check_timer: asyncio.TimerHandle | None = None
 
     async def start(self, host: str, port: int) -> int:
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -1,7 +1,11 @@
-"""Which connections give way when there are too many."""
+"""Which connections give way when there are too many, and how long others may have waited to be accepted."""
+
+import socket
 
 import pytest
 
+from sprucespool.transport import accept_queue
+from sprucespool.transport.accept_queue import AcceptQueue
 from sprucespool.transport.connection_budget import (
     MAX_CANDIDATES,
     NEWCOMER_GRACE_MS,
@@ -127,3 +131,51 @@
     world.budget.make_room(0.0)
     assert sum(connection.looked_at for connection in world.connections.values()) <= MAX_CANDIDATES + 1
     assert not world.ended
+
+
+# The queue of a listening socket
+
+
+@pytest.fixture
+def listener():
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        one.listen(64)
+        yield one
+
+
+@pytest.mark.sockets
+def test_a_connection_waited_no_longer_than_since_fewer_had_arrived(listener):
+    """Guards against: after a pause each connection counted as old as the pause, and its deadline as past."""
+    queue, clients = AcceptQueue(listener, 64), []
+
+    def arrive(count: int) -> None:
+        clients.extend(socket.create_connection(listener.getsockname()) for _ in range(count))
+
+    arrive(2)
+    queue.begin(10.0, 0.5)
+    queue.observe(10.0)
+    assert queue.waiting
+    queue.begin(11.0, 0.0)
+    arrive(2)
+    queue.begin(12.0, 0.0)
+    accepted = [queue.accept(13.0) for _ in range(4)]
+    assert accepted == [3.5, 3.5, 2.0, 2.0]
+    queue.drained()
+    assert not queue.waiting
+    queue.begin(20.0, 0.25)
+    assert queue.accept(20.0) == 0.25
+    for client in clients:
+        client.close()
+
+
+def test_where_the_system_does_not_tell_a_full_queue_is_assumed(listener, monkeypatch):
+    monkeypatch.setattr(accept_queue, "waiting_connections", lambda listener: None)
+    queue = AcceptQueue(listener, 2)
+    queue.begin(1.0, 0.0)
+    queue.observe(1.0)
+    assert [queue.accept(3.0) for _ in range(4)] == [2.0, 2.0, 2.0, 2.0]
+    queue.begin(3.0, 0.0)
+    queue.observe(3.0)
+    # Two may have waited at second 3; the third one behind them has not.
+    assert [queue.accept(4.0) for _ in range(3)] == [3.0, 3.0, 1.0]
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -11,6 +11,8 @@
 pytestmark = pytest.mark.sockets
 
 SOCKETS = 256
+# What connections of clients hold at most, and what the controller uses beside them here.
+MAX_CLIENTS, OTHERS = 140, 40
 STAYING = 8
 # Served, or refused by the decisions; what crossed the end of a connection was sent once more.
 ENDS = {"code 0", "code 14", "crossed", "lost"}
@@ -48,6 +50,7 @@
             for clients in usual, staying:
                 assert clients.ends["lost"] == 0, clients.lost[:10]
                 assert set(clients.ends) <= ENDS
+            assert highest[0] <= MAX_CLIENTS + OTHERS
             assert "Traceback" not in world.log.read_text()
 
     asyncio.run(scene())
@@ -69,3 +72,8 @@
 def test_clients_that_come_again_at_once_cost_others_no_answer(act):
     """Guards against: a crowd that came again filled the descriptors, and usual clients were ended for it."""
     play(Crowd.come_again, act)
+
+
+def test_more_clients_with_open_requests_than_may_stay_cost_others_no_answer():
+    """Guards against: where all connections had a request open, the oldest was ended without its answer."""
+    play(lambda crowd: crowd.come_in_bursts(60, 0.25), crowds.ask_and_stay)
