A shutdown answers what waits to be accepted

Callers saw: a client that connected and asked while accepting was paused, shortly before the process found itself quiet, got a reset and no answer.

Cause: Node.stop ends when nothing is open or on its way; connections in the system's queue counted as nothing while accepting was paused (no descriptor, no room). Evidence: the new test with seven injected errors of accept; before: no answer, after: served.

Change: Acceptor.busy includes connections that may wait.

--- a/sprucespool/transport/acceptor.py
+++ b/sprucespool/transport/acceptor.py
@@ -160,8 +160,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether an accepted connection has not been handed to its protocol yet."""
-        return bool(self._tasks)
+        """Whether a connection waits to be accepted, or was not handed to its protocol yet."""
+        return bool(self._tasks) or any(queue.waiting for queue in self._queues.values())
 
     def _close_listeners(self):
         for listener in self.listeners:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -1,12 +1,14 @@
 """Crowds of clients do not cost usual clients their answers, nor the controller its descriptors."""
 
 import asyncio
+import signal
 from collections.abc import Awaitable, Callable
 
 import crowds
 import pytest
 from crowds import Crowd, NewClients, SlowInvoker, StayingClients
 from platform_process import Platform, platform
+from platform_scene import until
 
 pytestmark = pytest.mark.sockets
 
@@ -77,3 +79,43 @@
 def test_more_clients_with_open_requests_than_may_stay_cost_others_no_answer():
     """Guards against: where all connections had a request open, the oldest was ended without its answer."""
     play(lambda crowd: crowd.come_in_bursts(60, 0.25), crowds.ask_and_stay)
+
+
+@pytest.mark.parametrize(
+    ("come", "act"),
+    [
+        (Crowd.come_again, crowds.say_nothing),
+        (Crowd.come_in_bursts, crowds.take_back),
+        (lambda crowd: crowd.come_in_bursts(60, 0.25), crowds.ask_and_stay),
+    ],
+    ids=["say nothing, again", "take back", "ask and stay"],
+)
+def test_a_shutdown_in_a_crowd_costs_usual_clients_no_answer(come, act):
+    """Guards against: what waited to be accepted was not counted as open when the process was asked to stop."""
+
+    async def scene():
+        async with platform(
+            *[SlowInvoker(0.1) for _ in range(6)], memory_mb=128, sockets=SOCKETS, usual=False, stopped=True
+        ) as world:
+            crowd, usual, staying = Crowd(world.port, act), NewClients(world.port), StayingClients(world.port)
+            staying.start(STAYING)
+            task = asyncio.create_task(come(crowd))
+            try:
+                await asyncio.sleep(1.5)
+                coming = asyncio.create_task(usual.come(20, 0.02))
+                await asyncio.sleep(0.1)
+                world.process.send_signal(signal.SIGTERM)
+                # New connections come for 0.3 s after it, requests on open ones for 0.5 s.
+                await asyncio.sleep(0.5)
+                await staying.stop()
+                await coming
+                await until(lambda: world.process.poll() is not None, 3.5)
+            finally:
+                task.cancel()
+                await crowd.end()
+            print(f"crowd of {crowd.connected}, new {dict(usual.ends)}, staying {dict(staying.ends)}")
+            for clients in usual, staying:
+                assert clients.ends["lost"] == 0, clients.lost[:10]
+            assert world.process.returncode == 0
+
+    asyncio.run(scene())
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -57,6 +57,26 @@
     run_scene(scene)
 
 
+def test_a_shutdown_answers_what_waits_to_be_accepted():
+    """Guards against: while connections could not be accepted, the process ended and reset those that waited."""
+
+    async def scene():
+        with faulty_sockets(Faults()) as faults:
+            async with Scene(InvokerStandIn(), begin=faults.begin) as world:
+                (await world.warmed()).close()
+                stopping = asyncio.create_task(world.node.stop())
+                await asyncio.sleep(0.6)
+                first = faults.counts["client", "accept"]
+                faults.planned = {("client", "accept", first + n): errno.EMFILE for n in range(1, 8)}
+                client = RawClient(world.port)
+                client.send(request_frame(1))
+                assert await client.answers(1) == [(17, 1, 0)]
+                assert len(faults.injected) == 7
+                await stopping
+
+    run_scene(scene)
+
+
 @pytest.mark.parametrize("error", [errno.ENOTCONN, errno.ECONNRESET, errno.EPIPE])
 def test_a_connection_ends_when_its_shutdown_fails(error):
     """Guards against: the peer was gone as the error was written; reading stayed paused and no timer was set."""
