gRPC: idle connections make room for new clients, within the descriptors

Callers saw: with `bounds connections` met by clients that stay, each new client's first call failed with UNAVAILABLE.

Cause: the listener reset each newcomer at the limit, whatever those did that stood, and the limit (4,096 by default) did not look at the process's descriptors.

Change: the listener uses the ConnectionBudget of the platform's controller: silent and idle connections end with GOAWAY, the oldest first; one with an open call stays; accepting waits a fifth beyond the limit (16 at least). The daemon keeps to 45% of its limit on descriptors.

--- a/sprucespool/daemon/serve.py
+++ b/sprucespool/daemon/serve.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import json
+import resource
 import signal
 import sys
 import time
@@ -28,6 +29,15 @@
 from sprucespool.settings.controller import ControllerPlan, loopback
 from sprucespool.transport.listener import Listener, Server
 
+# Share of the file descriptors for connections of clients that stay; the others are for invokers and the group.
+CLIENT_CONNECTIONS_SHARE = 0.45
+
+
+def max_client_connections() -> int:
+    """How many connections of clients the limit on this process's descriptors allows."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if limit == resource.RLIM_INFINITY else max(1, int(CLIENT_CONNECTIONS_SHARE * limit))
+
 
 class LoadMeter:
     """Measures load and capacity of this process since the last call, in the order of `group.LOAD_METRICS`."""
@@ -95,7 +105,7 @@
             },
             Limits(streams=bounds.streams, header_list=bounds.headers, message=bounds.message, unsent=bounds.unsent),
             Server(
-                connections=bounds.connections,
+                connections=min(bounds.connections, max_client_connections()),
                 handshake=bounds.handshake,
                 idle_close=bounds.idle_close,
                 keepalive=bounds.keepalive,
--- a/sprucespool/transport/listener.py
+++ b/sprucespool/transport/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,19 +13,23 @@
 from sprucespool.grpc.status import Limits, Metadata, Status
 from sprucespool.transport.acceptor import Acceptor
 from sprucespool.transport.buffers import BufferBudget
-from sprucespool.transport.input_scheduler import InputScheduler
+from sprucespool.transport.connection_budget import ConnectionBudget, ConnectionState
 from sprucespool.transport.errors import report_unexpected
+from sprucespool.transport.input_scheduler import InputScheduler
 from sprucespool.transport.wire import Wire
 
 CHECK_INTERVAL_SECONDS = 1.0
 # Input of one read, of which a part may wait for later loop iterations.
 MAX_READ_BYTES = 64 * 1024
+# Connections beyond the limit that are accepted while others close to make room: at least so many, and this share.
+MIN_EXTRA_CONNECTIONS, EXTRA_CONNECTIONS_SHARE = 16, 0.2
 
 
 @dataclass(frozen=True, slots=True)
 class Server:
     """Limits of a listener; times in milliseconds."""
 
+    # Connections that stay; beyond them the longest idle ones close to make room.
     connections: int = 4096
     handshake: float = 5_000.0
     idle_close: float = 600_000.0
@@ -191,8 +196,34 @@
             input_scheduler=listener.input_scheduler,
             max_read_bytes=MAX_READ_BYTES,
         )
+        self.wire.on_changed, self.wire.on_closed = self._on_changed, self._on_closed
         self.name, self.received_any, self.pinged_at = "?", False, 0.0
 
+    def _on_changed(self, wire: Wire):
+        self.listener.connections.update(self, self._state(), self.listener.now())
+
+    def _state(self) -> ConnectionState:
+        if self.wire.lost:
+            return ConnectionState.LINGERING
+        if self.link.streams or self.wire.paused or self.wire.input_waits:
+            return ConnectionState.BUSY
+        return ConnectionState.IDLE if self.link.highest else ConnectionState.PENDING
+
+    def _on_closed(self, wire: Wire):
+        self.listener.connections.remove(self)
+
+    def is_quiet(self) -> bool:
+        """Whether nothing that the system has received waits to be read, and nothing waits to be written."""
+        return self.wire.quiet
+
+    def end_to_make_room(self) -> None:
+        """Close the connection; GOAWAY tells the client which of its calls were not read."""
+        if self.wire.lost:
+            return self.wire.abort()
+        self.link.go_away(why="too many connections")
+        self.wire.flush()
+        self.wire.end("no room for so many connections")
+
     @property
     def link(self) -> ServerLink:
         assert isinstance(self.wire.link, ServerLink)
@@ -207,14 +238,15 @@
             # process alive that is to end.
             wire.end("closed", at_once=True)
             return
-        if len(self.listener.peers) >= self.listener.server.connections or (
-            self.listener.shutting_down and not self.listener.kept_paths
-        ):
-            self.listener.turned_away += 1
-            wire.end("too many connections", at_once=True)
+        if self.listener.shutting_down and not self.listener.kept_paths:
+            self.listener.refused += 1
+            wire.end("shutting down", at_once=True)
             return
         self.listener.peers[self] = None
         self.listener.accepted += 1
+        now = self.listener.now()
+        self.listener.connections.add(self, now)
+        self.listener.connections.make_room(now)
 
     def _events(self, wire: Wire, events: list[Event]):
         waited = self.waited + wire.last_received_at - wire.opened if self.waited else 0.0
@@ -324,12 +356,18 @@
         self.buffer_budget = BufferBudget(server.buffers)
         self.input_scheduler = InputScheduler()
         self.peers: dict[_Peer, None] = {}
-        self.accepted = self.turned_away = 0
+        extra = max(MIN_EXTRA_CONNECTIONS, int(EXTRA_CONNECTIONS_SHARE * server.connections))
+        self.connections = ConnectionBudget(server.connections + extra, server.connections)
+        self.accepted = self.refused = 0
         self.end_counts: dict[str, int] = {}
         self.shutting_down = self.closed = False
         # Paths still served during shutdown, when calls of all other paths are refused.
         self.kept_paths: frozenset[str] = frozenset()
-        self.acceptor = Acceptor(lambda waited: _Peer(self, waited).wire, lambda error: None)
+        self.acceptor = Acceptor(
+            lambda waited: _Peer(self, waited).wire,
+            self._on_accept_error,
+            room=lambda: self.connections.room(self.now()),
+        )
         self._check_timer: asyncio.TimerHandle | None = None
 
     async def start(self, host: str, port: int) -> int:
@@ -338,6 +376,19 @@
         self._check_timer = self.loop.call_later(CHECK_INTERVAL_SECONDS, self._check_peers)
         return port
 
+    def now(self) -> float:
+        return self.loop.time() * 1000.0
+
+    @property
+    def turned_away(self) -> int:
+        """How many connections were refused, or closed to make room."""
+        return self.refused + self.connections.evicted
+
+    def _on_accept_error(self, error: OSError):
+        """There is no descriptor or memory for a new connection; the first helps where another closes."""
+        if error.errno == errno.EMFILE:
+            self.connections.evict_one(self.now())
+
     def reject_unknown(self, call: ServerCall) -> None:
         call.finish(Status.UNIMPLEMENTED, f"no method {call.path[:200]}")
 
--- /dev/null
+++ b/tests/test_grpc_crowds.py
@@ -0,0 +1,58 @@
+"""gRPC: crowds of connections do not cost usual clients their answers."""
+
+import socket
+import time
+from contextlib import contextmanager
+
+import grpc
+import pytest
+from program import Stage, request
+from test_link import GRPC, HELLO, Encoder, frame
+
+from sprucespool.wire import names
+
+pytestmark = pytest.mark.sockets
+
+HEADERS, END_HEADERS_AND_STREAM = 1, 5
+LIMIT, EXTRA, CROWD = 40, 16, 120
+# Each usual client has a connection of its own.
+CHANNEL_OPTIONS = [("grpc.use_local_subchannel_pool", 1)]
+# A call without a message, which is answered with an error at once.
+CALL_WITHOUT_MESSAGE = HELLO + frame(HEADERS, END_HEADERS_AND_STREAM, 1, Encoder().encode(GRPC))
+
+
+@contextmanager
+def crowd(port: int, first: bytes):
+    """Connections that send `first` and stay."""
+    connections = []
+    try:
+        for _ in range(CROWD):
+            connections.append(socket.create_connection(("127.0.0.1", port)))
+            connections[-1].sendall(first)
+        yield
+    finally:
+        for connection in connections:
+            connection.close()
+
+
+@pytest.mark.parametrize("first", [b"", HELLO, CALL_WITHOUT_MESSAGE], ids=["silent", "preface", "one call"])
+def test_connections_that_stay_give_way_to_clients_that_call(tmp_path, first):
+    """Guards against: at the limit each new connection was refused, whatever those did that stood."""
+    stage = Stage()
+    daemon = stage.controller(tmp_path, [stage.invoker(cores=200).name], f"bounds connections={LIMIT}")
+    try:
+        with (
+            grpc.insecure_channel(f"127.0.0.1:{daemon.port}", options=CHANNEL_OPTIONS) as standing,
+            crowd(daemon.port, first),
+        ):
+            infer = standing.unary_unary(names.MODEL_INFER)
+            for number in range(10):
+                with grpc.insecure_channel(f"127.0.0.1:{daemon.port}", options=CHANNEL_OPTIONS) as channel:
+                    channel.unary_unary(names.MODEL_INFER)(request(id=f"new{number}"), timeout=2)
+                infer(request(id=f"standing{number}"), timeout=2)
+            assert stage.call(lambda: len(daemon.listener.connections)) <= LIMIT + EXTRA
+            time.sleep(0.2)
+            assert stage.call(lambda: len(daemon.listener.connections)) <= LIMIT
+    finally:
+        stage.run(daemon.stop(500))
+        stage.close()
