An idle connection that makes room is closed without an error

Callers saw: on a usual idle connection an answer on stream 0 with code 2, which stands for an error of the client, before the close; clients that wait for the close alone met it with their next request.

Cause: whoever made room got the words for bad clients.

Change: a connection that was answered before is closed as one that is idle for long.

--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -175,6 +175,9 @@
         if self.wire.lost:
             return self.wire.abort()
         self.wire.linger = 0.0
+        if self.was_answered:
+            # As a connection that is closed for being idle: its client did nothing wrong.
+            return self.wire.end("no room for so many connections")
         self.close_with_error("no room for so many connections")
 
     def _on_closed(self, wire: Wire):
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -8,7 +8,8 @@
 import pytest
 from crowds import Crowd, NewClients, SlowInvoker, StayingClients
 from platform_process import Platform, platform
-from platform_scene import until
+from platform_scene import InvokerStandIn, Scene, run_scene, until
+from platform_world import request_frame
 
 pytestmark = pytest.mark.sockets
 
@@ -119,3 +120,23 @@
             assert world.process.returncode == 0
 
     asyncio.run(scene())
+
+
+def test_an_idle_connection_that_makes_room_is_closed_without_an_error():
+    """Guards against: a usual client was told of an error on stream 0, which stands for a fault of its own."""
+
+    async def scene():
+        async with Scene(InvokerStandIn(), limits={"cores": 1.0, "memory_mb": 64, "sockets": 64}) as world:
+            clients = []
+            for number in range(world.node.server.listener.connections.target + 1):
+                clients.append(await world.client())
+                clients[-1].send(request_frame(1, id=f"{number:016x}"))
+                assert await clients[-1].answers(1) == [(17, 1, 0)]
+            assert await clients[0].read(1.0) == b""
+            assert world.node.server.listener.connections.evicted == 1
+            clients[1].send(request_frame(2, id="e" * 16))
+            assert await clients[1].answers(1) == [(17, 2, 0)]
+            for client in clients:
+                client.close()
+
+    run_scene(scene)
