Connections at work do not shield those behind them from making room

Found by reading: a choice looks at eight connections at most, and passed over those with input or output waiting without moving them.

Change: one that is passed over counts as having come to its state now. The new unit test ended nothing before (two calls), the ninth connection after. Wire.end_to_free_buffers uses Wire.abort.

--- a/sprucespool/transport/connection_budget.py
+++ b/sprucespool/transport/connection_budget.py
@@ -4,7 +4,6 @@
 
 from collections import OrderedDict
 from enum import Enum
-from itertools import islice
 from typing import Protocol
 
 # A pending connection is kept for this long (ms), so that a client that has just connected can send its request.
@@ -117,19 +116,26 @@
             return next(iter(lingering))
         if self.count(ConnectionState.PENDING) > self.max_pending:
             # Where all of them have just come, accepting waits: idle connections do not give way to such a crowd.
-            return self._oldest_quiet(ConnectionState.PENDING, now - NEWCOMER_GRACE_MS)
+            return self._oldest_quiet(ConnectionState.PENDING, now - NEWCOMER_GRACE_MS, now)
         return (
-            self._oldest_quiet(ConnectionState.PENDING, now - SLOW_MESSAGE_MS)
-            or self._oldest_quiet(ConnectionState.UNANSWERED, now)
-            or self._oldest_quiet(ConnectionState.IDLE, now)
-            or self._oldest_quiet(ConnectionState.PENDING, now - NEWCOMER_GRACE_MS)
+            self._oldest_quiet(ConnectionState.PENDING, now - SLOW_MESSAGE_MS, now)
+            or self._oldest_quiet(ConnectionState.UNANSWERED, now, now)
+            or self._oldest_quiet(ConnectionState.IDLE, now, now)
+            or self._oldest_quiet(ConnectionState.PENDING, now - NEWCOMER_GRACE_MS, now)
         )
 
-    def _oldest_quiet(self, state: ConnectionState, latest: float) -> BudgetedConnection | None:
-        """The connection that has been in the state for longest, since `latest` at the latest."""
-        for connection, since in islice(self._since[state].items(), MAX_CANDIDATES):
+    def _oldest_quiet(self, state: ConnectionState, latest: float, now: float) -> BudgetedConnection | None:
+        """The connection that has been in the state for longest, since `latest` at the latest.
+
+        One that is not quiet is at work: it counts as having come to its state now.
+        """
+        connections = self._since[state]
+        for _ in range(min(MAX_CANDIDATES, len(connections))):
+            connection, since = next(iter(connections.items()))
             if since > latest:
                 return None
             if connection.is_quiet():
                 return connection
+            connections[connection] = now
+            connections.move_to_end(connection)
         return None
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -229,8 +229,7 @@
         if not self.lost:
             return self.on_buffers_full(self)
         self._final_output = b""
-        if self.transport is not None:
-            self.transport.abort()
+        self.abort()
 
     def abort(self) -> None:
         """Close the connection at once; output that is not accepted by the system yet is discarded."""
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -120,6 +120,17 @@
     assert world.ended == ["idle 1"]
 
 
+def test_connections_at_work_do_not_shield_those_behind_them():
+    """Guards against: as many busy senders as are considered stood first, and newcomers were ended instead."""
+    world = World(target=MAX_CANDIDATES)
+    world.add(MAX_CANDIDATES + 1, IDLE)
+    for number in range(MAX_CANDIDATES):
+        world.connections[f"idle {number}"].quiet = False
+    world.budget.make_room(0.0)
+    world.budget.make_room(1.0)
+    assert world.ended == [f"idle {MAX_CANDIDATES}"]
+
+
 @pytest.mark.parametrize("standing", [100, 1000])
 def test_the_cost_of_a_newcomer_does_not_grow_with_the_connections_that_stand(standing):
     """Guards against: whom to end was looked for among all connections, for each newcomer."""
