The check that repeats are detected counts scenes in which there was one to repeat

The product is not at fault.

Change: the first scene counts in which such a request was left unanswered, of six at most, and one has to be there; in it the break must be found, as before. Equally strict: no scene with a repeat is passed over.

--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -21,6 +21,8 @@
 pytestmark = pytest.mark.sockets
 
 PAIRS = 24
+# Each of these scenes has a request that must run once at the invoker that hangs, but for a few in a hundred.
+MAX_SCENES = 6
 
 
 @pytest.mark.parametrize("seed", range(PAIRS))
@@ -41,19 +43,30 @@
 
 def broken_rules(folder, troubles, settings=None):
     """Returns the numbers of the rules reported as broken."""
+    return broken_rules_of(TroubledWorld(1, folder, settings), troubles)
+
+
+def broken_rules_of(world, troubles):
     found = []
 
     async def scene():
-        found.extend(await TroubledWorld(1, folder, settings).play(troubles))
+        found.extend(await world.play(troubles))
 
     run_scene(scene)
     return {rule.split(":")[0] for rule in found}
 
 
 def test_a_controller_that_repeats_a_request_that_must_run_once_is_detected(tmp_path):
+    """The first scene counts in which such a request met the invoker that hangs; in others nothing is repeated."""
     wrong_settings = settings_of_all_effects()
     wrong_settings["profiles"][-1]["effect"] = wrong_settings["profiles"][0]["effect"]
-    assert "2" in broken_rules(tmp_path, [one_hangs, idle_connections_reset], wrong_settings)
+    for _ in range(MAX_SCENES):
+        world = TroubledWorld(1, tmp_path, wrong_settings)
+        broken = broken_rules_of(world, [one_hangs, idle_connections_reset])
+        if world.was_left_unanswered("once"):
+            break
+    assert world.was_left_unanswered("once")
+    assert "2" in broken
 
 
 def test_a_controller_that_sends_too_long_time_limits_is_detected(tmp_path, monkeypatch):
--- a/tests/troubled_scene.py
+++ b/tests/troubled_scene.py
@@ -112,6 +112,8 @@
         self.refusing: set[int] = set()
         self.silent: set[int] = set()
         self.dropped: set[str] = set()
+        # Requests that an invoker got and did not answer.
+        self.unanswered: set[str] = set()
         self.refusals: Counter = Counter()
         self.draining: dict[int, float] = {}
         self.paused = False
@@ -123,6 +125,7 @@
     def _behave(self, tag: str) -> bytes | None:
         place = next(n for n, one in enumerate(self.invokers) if one.lines and one.lines[-1][0][1] == tag)
         if place in self.silent or tag in self.dropped:
+            self.unanswered.add(tag)
             return None
         if place in self.refusing:
             self.refusals[tag] += 1
@@ -153,6 +156,15 @@
                 await client.close()
         return broken
 
+    def was_left_unanswered(self, group: str) -> bool:
+        """Whether an invoker got a request of the group and did not answer it."""
+        return any(
+            sent.group == group
+            for client in self.clients
+            for name, sent in client.sent.items()
+            if name in self.unanswered
+        )
+
     async def _start_later(self, trouble):
         await asyncio.sleep(self.chance.uniform(0.1, 0.8))
         await trouble(self)
