Time limits of a client's connection spare one on which input has arrived

Callers would see, after a stall of the process: a connection ended for silence, half a frame or being idle though the request was already there, unread. Not seen in service.

Cause: ClientConnection.check judged by what was read, and a timer may run before the sockets are polled again. The same order of events as in the choice of who makes room, one call further on.

Change: the three limits ask the system first, with the Wire.unhandled_input that the choice uses. Three new cases in test_crossings.py: an error or a close before, the answer after.

--- a/sprucespool/node/clients.py
+++ b/sprucespool/node/clients.py
@@ -198,6 +198,10 @@
         self.wire.delay = delay
         self.wire.end(why)
 
+    def _idle_ms(self, now: float) -> float:
+        """How long nothing was open or half received on the connection; 0 if something is."""
+        return 0.0 if self.calls or self.link.unparsed else now - self.idle_since
+
     def check(self, now: float) -> None:
         """Close the connection if one of its timeouts has passed."""
         wire, link = self.wire, self.link
@@ -207,11 +211,12 @@
             self.write_paused_since = now
         elif now - self.write_paused_since > UNREAD_TIMEOUT_MS:
             return wire.end("client does not read", at_once=True)
-        if not link.frames and now - wire.opened > FIRST_FRAME_TIMEOUT_MS:
+        # After a stall what a client has sent in time may still be unread.
+        if not link.frames and now - wire.opened > FIRST_FRAME_TIMEOUT_MS and not wire.unhandled_input:
             self.close_with_error("no complete frame received")
-        elif link.unparsed.incomplete_for(now) > FRAME_TIMEOUT_MS:
+        elif link.unparsed.incomplete_for(now) > FRAME_TIMEOUT_MS and not wire.unhandled_input:
             self.close_with_error("incomplete frame")
-        elif not self.calls and not link.unparsed and now - self.idle_since > IDLE_TIMEOUT_MS:
+        elif self._idle_ms(now) > IDLE_TIMEOUT_MS and not wire.unhandled_input:
             wire.linger = 0.0
             wire.end("idle")
         elif wire.behind_ms > REPORTED_BEHIND_MS and not self._reported:
--- a/sprucespool/transport/wire.py
+++ b/sprucespool/transport/wire.py
@@ -215,9 +215,14 @@
     @property
     def quiet(self) -> bool:
         """Whether nothing waits to be written, to be handled or, in the system, to be read."""
-        if self.transport is None or self.unwritten or self.input_waits:
+        return self.transport is not None and not self.unwritten and not self.unhandled_input
+
+    @property
+    def unhandled_input(self) -> bool:
+        """Whether input that the system has received, or its end, was not read or not handled yet."""
+        if self.transport is None:
             return False
-        return not has_unread_input(self.transport.get_extra_info("socket"))
+        return self.input_waits or has_unread_input(self.transport.get_extra_info("socket"))
 
     @property
     def buffered_since(self) -> float:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,6 +22,8 @@
 pytestmark = pytest.mark.sockets
 
 STALL_SECONDS = 0.4
+# Longer than any time limit of a client's connection.
+LONGEST_LIMIT_MS = 11_000.0
 
 
 def never_answer(tag):
@@ -710,3 +712,27 @@
     assert withdrawn == ["a"]
     server.add_input(ms.Roster("replace", 2, [ms.Row("b:1")]))
     assert withdrawn == ["a", "a", "c"]
+
+
+# Time limits of a client's connection, after a stall
+
+
+@pytest.mark.parametrize("sent_before", [b"", request_frame(1), request_frame(1)[:40]], ids=["new", "idle", "half"])
+def test_a_request_that_has_arrived_meets_no_time_limit_of_its_connection(sent_before):
+    """Guards against: after a stall the timer ended the connection before the input that had arrived was read."""
+
+    async def scene():
+        async with Scene(InvokerStandIn()) as world:
+            client = await world.client()
+            [connection] = world.node.server.listener.open
+            answered = 0
+            if sent_before:
+                client.send(sent_before)
+                answered = len(await client.answers(1, 0.3))
+            # The system has it; the loop has not run since.
+            client.sock.setblocking(True)
+            client.send(request_frame(1)[len(sent_before) :] or request_frame(2, id="e" * 16))
+            connection.check(world.node.server.listener.now() + LONGEST_LIMIT_MS)
+            assert await client.answers(1) == [(17, 1 + answered, 0)]
+
+    run_scene(scene)
