No attempt begins for a client whose end the system has, read or not

Cause: after a stall three iterations are waited for, and a reset is told one later than a close (read, not traced by iteration); answers of invokers freed places for what waited.

Change: right before a line is written the system is asked whether the client's connection has ended (poll, 1.3 us a call here). New test, two cases: an attempt before, none after.

--- a/sprucespool/node/gateway_server.py
+++ b/sprucespool/node/gateway_server.py
@@ -315,6 +315,10 @@
         """Whether the end of the client's connection may have waited for long behind other input."""
         return call.connection.wire.behind_ms > MAX_BEHIND_MS
 
+    def _has_left(self, call: _Call) -> bool:
+        """Whether the client has left or may have, to be asked right before something is written for it."""
+        return self._may_have_left(call) or call.connection.wire.end_if_peer_closed()
+
     def _forward(self, effect: ms.SendForward):
         call, invoker = self.calls.get(effect.call), self.invoker(effect.invoker)
         if call is None or invoker is None or self._may_have_left(call):
@@ -334,7 +338,7 @@
                 request.id, request.group, request.model, deadline, request.once, request.body, write_by
             ),
             lambda result: self._forward_ended(effect.forward, forward, result),
-            lambda: effect.call in self.calls and not self._may_have_left(call),
+            lambda: effect.call in self.calls and not self._has_left(call),
         )
 
     def _forward_ended(self, number: int, forward: _Forward, result: Answer | it.Outcome):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,6 +16,7 @@
 from sprucespool.daemon.invoker_pools import InvokerPools
 from sprucespool.gateway import messages as ms
 from sprucespool.grpc.status import Limits
+from sprucespool.node.gateway_server import EFFECTS
 from sprucespool.transport.plan import PoolLimits
 from sprucespool.transport.pool import Pool, Unconnected
 
@@ -714,6 +715,29 @@
     assert withdrawn == ["a", "a", "c"]
 
 
+@pytest.mark.parametrize("reset", [False, True], ids=["closes", "resets"])
+def test_a_client_that_leaves_between_decision_and_write_gets_no_attempt(reset, monkeypatch):
+    """Guards against: after a stall the end of a connection was read one iteration after what waited was sent."""
+
+    async def scene():
+        async with Scene(InvokerStandIn()) as world:
+            (await world.warmed()).close()
+            client = await world.client()
+            forward = EFFECTS[ms.SendForward]
+
+            def leave_and_forward(server, effect):
+                client.close(reset)
+                forward(server, effect)
+
+            monkeypatch.setitem(EFFECTS, ms.SendForward, leave_and_forward)
+            client.send(request_frame(1, id="e" * 16))
+            await asyncio.sleep(0.3)
+            assert world.invokers[0].runs() == ["f" * 16]
+            assert not world.node.server.calls and not world.node.server.in_flight
+
+    run_scene(scene)
+
+
 # Time limits of a client's connection, after a stall
 
 
