--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,54 +1,62 @@
-"""A bad client asks with a figure that is out of range, and is answered 'served'."""
+"""An invoker drains while discovery is silent, in a deployment whose settings don't allow probes."""
 
 import asyncio
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "support-2"))
-from stand_ins import SERVED, Asked, Channel, Client, Controller, Invoker, host, main, settings, trouble
+from stand_ins import SLACK, Asked, Channel, Client, Controller, Invoker, host, main, now, settings, trouble
 
-# The memory of an invoker in the settings, and that of one copy as the requests tell it.
-INVOKER_MB, SOUND_MB, BAD_MB = 16_000, 512, 999_999_999
+FUNCTIONS = [f"{number:016x}" for number in range(0xA1, 0xA1 + 24)]
+SILENCE, RATE, GRACE = 8.0, 5.0, 0.5
+# The channel's silence counts as told 4 s after it began; the drain is put into the channel later than that.
+DRAIN_AFTER = 4.2
 
 
 async def case(record):
-    invokers = [await Invoker(f"s-{number}", record).start() for number in range(3)]
+    invokers = [await Invoker(f"s-{number}", record).start() for number in range(12)]
     channel = await Channel(record).start()
     channel.add(*[host(one) for one in invokers], whole=True)
-    controller = Controller(record, channel, settings(specifics={"ramMbByKind": [float(INVOKER_MB)]}))
+    given = settings(ceilings={"probes": False, "peers": True})
+    controller = Controller(record, channel, given)
     controller.start()
-    asked_mb = BAD_MB if trouble() else SOUND_MB
-    second = []
+    asked = []
+    told_at = None
     try:
         await controller.ready()
-        for number in range(10):
-            usual = await Client(f"usual-{number}", record).connect(controller.port)
-            sound = usual.ask(
-                Asked(f"{2 * number + 1:016x}", "call", f"{0xA1:016x}", 2.0, b"audio"),
-                attrs=f"memory_mb:{SOUND_MB};lanes:2;load_ms:400",
+        client = await Client("client", record).connect(controller.port)
+        began = now()
+        silent = spoken = False
+        while (elapsed := now() - began) < 4.0 + SILENCE + 2.0:
+            if trouble() and not silent and elapsed >= 4.0:
+                silent = True
+                channel.go_silent()
+            if told_at is None and elapsed >= 4.0 + DRAIN_AFTER:
+                channel.add(host(invokers[0], "draining"))
+                told_at = now()
+                invokers[0].draining = True
+                record.add("s-0", "drains")
+            if silent and not spoken and elapsed >= 4.0 + SILENCE:
+                spoken = True
+                channel.speak()
+            number = len(asked)
+            asked.append(
+                client.ask(Asked(f"{number + 1:016x}", "call", FUNCTIONS[number % len(FUNCTIONS)], 2.0, b"audio"))
             )
-            client = await Client(f"bad-{number}", record).connect(controller.port)
-            second.append(
-                client.ask(
-                    Asked(f"{2 * number + 2:016x}", "call", f"{0xB0 + number:016x}", 2.0, b"audio"),
-                    attrs=f"memory_mb:{asked_mb};lanes:2;load_ms:400",
-                )
-            )
-            async with asyncio.timeout(6.0):
-                await sound.done.wait()
-                await second[-1].done.wait()
-            usual.close()
-            client.close()
+            await asyncio.sleep(1 / RATE)
+        await asyncio.sleep(2.0)
+        client.close()
     finally:
         controller.stop()
         channel.close()
         for one in invokers:
             one.close()
-    ran = {one.id for invoker in invokers for one in invoker.attempts}
-    return [
-        f"{one.id}: memory_mb {asked_mb}, answered 'served', {'run' if one.id in ran else 'not run'} by an invoker"
-        for one in second
-        if asked_mb > INVOKER_MB and one.code == SERVED
+    latest = told_at + GRACE + SLACK
+    late = [one for one in invokers[0].attempts if one.at > latest]
+    late_orders = [one for one in invokers[0].orders if one.copies and one.at > latest]
+    return [f"exec {one.id} reached s-0 {one.at - told_at:.3f} s after its drain was told" for one in late] + [
+        f"ensure {one.item} n={one.copies} reached s-0 {one.at - told_at:.3f} s after its drain was told"
+        for one in late_orders
     ]
 
 
