--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import random
-import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "support-2"))
 from stand_ins import SLACK, Asked, Channel, Client, Controller, Invoker, host, main, now, profile, settings, trouble
 
 USUAL, TIMES = 20, 16
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,8 @@
 """An invoker drains while discovery is silent, in a deployment whose settings don't allow probes."""
 
 import asyncio
-import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "support-2"))
 from stand_ins import SLACK, Asked, Channel, Client, Controller, Invoker, host, main, now, settings, trouble
 
 FUNCTIONS = [f"{number:016x}" for number in range(0xA1, 0xA1 + 24)]
